--- /dev/null
+++ b/packages/coordination/src/coordination/model/JsonReader.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "core/outcome/Error.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace carawaypond {
+
+/// @brief Reads fields of a JSON object, and remembers the first error with
+/// its JSON path. Reading goes on after an error and yields defaults, so that
+/// a parser needs one check at its end.
+class JsonReader {
+public:
+  JsonReader(const nlohmann::json &Object, std::string Path);
+
+  /// @return The first error, if any.
+  [[nodiscard]] const std::optional<Error> &error() const { return m_Error; }
+  /// @return The JSON path of the field @p Key.
+  [[nodiscard]] std::string pathOf(std::string_view Key) const;
+  [[nodiscard]] bool has(std::string_view Key) const;
+
+  /// @brief Reads a string of @p MinLength to @p MaxLength bytes.
+  std::string string(std::string_view Key, std::size_t MinLength = 1,
+                     std::size_t MaxLength = 253);
+  /// @brief Reads an integer within [@p Min, @p Max].
+  std::uint64_t integer(std::string_view Key, std::uint64_t Min,
+                        std::uint64_t Max);
+  std::uint64_t integerOr(std::string_view Key, std::uint64_t Min,
+                          std::uint64_t Max, std::uint64_t Default);
+  /// @brief Reads a number within [@p Min, @p Max].
+  double numberOr(std::string_view Key, double Min, double Max, double Default);
+  bool booleanOr(std::string_view Key, bool Default);
+  /// @return The array, or an empty one after an error.
+  const nlohmann::json &array(std::string_view Key);
+  /// @return The object, or an empty one after an error.
+  const nlohmann::json &object(std::string_view Key);
+
+  /// @brief Any key outside @p Known is an error.
+  void allowOnly(std::initializer_list<std::string_view> Known);
+  /// @brief Records an error at @p Key unless there is one already.
+  void fail(std::string_view Key, const std::string &What);
+  /// @brief Takes over the error of a nested reader.
+  void adopt(const JsonReader &Nested);
+
+private:
+  [[nodiscard]] const nlohmann::json *find(std::string_view Key) const;
+
+  const nlohmann::json &m_Object;
+  std::string m_Path;
+  std::optional<Error> m_Error;
+};
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/model/fwd.h
@@ -0,0 +1,17 @@
+#pragma once
+
+namespace carawaypond {
+
+class JsonReader;
+struct CallerClass;
+struct IndexLayout;
+struct IndexObject;
+struct ReplicaVersions;
+struct ServerInfo;
+struct ServiceConfig;
+struct ServiceLimits;
+struct ShardReplicas;
+struct StoredService;
+struct VersionRange;
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/test/coordination/model/ServiceConfigTest.cpp
@@ -0,0 +1,43 @@
+#include "coordination/model/ServiceConfig.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace carawaypond;
+
+namespace {
+
+nlohmann::json validContent() {
+  return nlohmann::json::parse(R"({
+    "name": "claims", "index": "claims",
+    "classes": [{"name": "interactive", "share": 0.8, "deadline_ms": 110}]})");
+}
+
+} // namespace
+
+TEST_CASE("a service's content survives writing and reading") {
+  Result<ServiceConfig> Config = parseServiceConfig(validContent());
+  REQUIRE(Config);
+  CHECK(parseServiceConfig(toJson(Config.value())).value() == Config.value());
+}
+
+TEST_CASE("a wrong field is named with its path, value and what is allowed") {
+  nlohmann::json Content = validContent();
+  Content["classes"][0]["share"] = 7;
+  Result<ServiceConfig> Config = parseServiceConfig(Content);
+  REQUIRE(!Config);
+  CHECK(Config.error().Message.find("/classes/0/share: 7 must be a number "
+                                    "from 0.001") != std::string::npos);
+}
+
+TEST_CASE("an unknown field is refused") {
+  nlohmann::json Content = validContent();
+  Content["limit"] = 1;
+  REQUIRE(!parseServiceConfig(Content));
+}
+
+TEST_CASE("a class that stands twice is refused") {
+  nlohmann::json Content = validContent();
+  Content["classes"].push_back(Content["classes"][0]);
+  REQUIRE(!parseServiceConfig(Content));
+}
--- /dev/null
+++ b/packages/core/src/core/id/fwd.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace carawaypond {
+
+template <typename Tag, typename Rep> class StrongId;
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/core/src/core/outcome/fwd.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace carawaypond {
+
+enum class ErrorCode;
+struct Error;
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/core/src/core/time/fwd.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace carawaypond {
+
+struct WallMillis;
+
+} // namespace carawaypond
