--- /dev/null
+++ b/packages/backend/src/backend/pool/ServerPool.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "backend/pool/fwd.h"
+#include "backend/search/SearchOutcome.h"
+#include "backend/search/SearchRequest.h"
+#include "backend/search/ServerStatus.h"
+#include "core/id/Ids.h"
+#include "core/outcome/Result.h"
+#include "core/time/Time.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace carawaypond::http {
+class Connection;
+struct Request;
+struct Response;
+} // namespace carawaypond::http
+
+namespace carawaypond::backend {
+
+struct ServerPoolOptions {
+  ServerName Server;
+  std::string Address;            ///< "ip:port".
+  std::size_t MaxConnections = 1; ///< This VM's part of the server's limit.
+};
+
+struct ServerPoolStats {
+  std::uint64_t Opened = 0;    ///< Connections opened so far.
+  std::uint64_t Exhausted = 0; ///< Calls refused for want of a connection.
+  std::size_t Open = 0;        ///< Connections open now, in use or idle.
+};
+
+/// @brief The connections of this VM to one backend server, never more than
+/// its part of the server's limit. Used by one thread.
+class ServerPool {
+public:
+  ServerPool(boost::asio::any_io_executor Executor, ServerPoolOptions Options);
+  ~ServerPool();
+  ServerPool(const ServerPool &) = delete;
+  ServerPool &operator=(const ServerPool &) = delete;
+
+  [[nodiscard]] const ServerPoolStats &stats() const;
+  [[nodiscard]] const ServerPoolOptions &options() const;
+
+  /// @brief Sends one subrequest and waits for its answer or its deadline.
+  /// With all connections in use it is SearchNotSent at once.
+  boost::asio::awaitable<SearchOutcome> search(SearchRequest Search);
+
+  /// @brief Asks the server to give a subrequest up.
+  /// @return Whether the server promised that it has not run and never will.
+  boost::asio::awaitable<bool> cancel(std::string Id, TimePoint Deadline);
+
+  /// @brief Asks the server what it serves.
+  boost::asio::awaitable<Result<ServerStatus>> status(TimePoint Deadline);
+
+  /// @brief Changes this VM's part of the server's limit. Connections in use
+  /// are kept until they are done.
+  void setMaxConnections(std::size_t Max);
+
+  /// @brief Closes connections that were idle since before @p Since.
+  void closeIdleSince(TimePoint Since);
+
+private:
+  class Lease;
+  struct Idle {
+    std::unique_ptr<http::Connection> Connection;
+    TimePoint Since;
+  };
+
+  [[nodiscard]] bool canLease() const;
+  Lease lease();
+  void giveBack(std::unique_ptr<http::Connection> Connection);
+  void dropIdle();
+  boost::asio::awaitable<Result<http::Response>> call(http::Request Request,
+                                                      TimePoint Deadline);
+
+  boost::asio::any_io_executor m_Executor;
+  ServerPoolOptions m_Options;
+  ServerPoolStats m_Stats;
+  std::vector<Idle> m_Idle;
+};
+
+} // namespace carawaypond::backend
--- /dev/null
+++ b/packages/daemon/src/daemon/app/CommandLine.cpp
@@ -0,0 +1,53 @@
+#include "daemon/app/CommandLine.h"
+
+#include <boost/program_options.hpp>
+
+#include <sstream>
+
+namespace carawaypond::daemon {
+
+namespace options = boost::program_options;
+
+namespace {
+
+options::options_description description() {
+  options::options_description Known("Options");
+  Known.add_options()("settings", options::value<std::string>(),
+                      "settings file in JSON (required)")(
+      "check", "check the settings and exit")("help", "print this and exit")(
+      "version", "print the version and exit");
+  return Known;
+}
+
+} // namespace
+
+Result<CommandLine> parseCommandLine(int Count, const char *const *Values) {
+  options::variables_map Given;
+  try {
+    options::store(options::parse_command_line(Count, Values, description()),
+                   Given);
+  } catch (const options::error &Failed) {
+    return failure(ErrorCode::InvalidInput, Failed.what());
+  }
+  if (Given.count("help") > 0)
+    return CommandLine{.What = Task::ShowHelp};
+  if (Given.count("version") > 0)
+    return CommandLine{.What = Task::ShowVersion};
+  if (Given.count("settings") == 0)
+    return failure(ErrorCode::InvalidInput, "--settings FILE is needed");
+  return CommandLine{.What = Given.count("check") > 0 ? Task::CheckSettings
+                                                      : Task::Serve,
+                     .SettingsPath = Given["settings"].as<std::string>()};
+}
+
+std::string helpText() {
+  std::ostringstream Out;
+  Out << "carawaypond: query tier over many shards\n\n"
+      << "Usage: carawaypond --settings FILE [--check]\n\n"
+      << description() << "\nSIGTERM and SIGINT begin a graceful stop.\n\n"
+      << "Exit codes: 0 stopped or checked, 2 wrong usage, 3 invalid settings,"
+      << " 4 an address can't be listened on.\n";
+  return Out.str();
+}
+
+} // namespace carawaypond::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/app/CommandLine.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/outcome/Result.h"
+
+#include <string>
+
+namespace carawaypond::daemon {
+
+/// @brief What the process was asked to do.
+enum class Task {
+  Serve,
+  CheckSettings,
+  ShowHelp,
+  ShowVersion,
+};
+
+/// @brief The daemon's command line.
+struct CommandLine {
+  Task What = Task::Serve;
+  std::string SettingsPath;
+};
+
+/// @brief Exit codes of the daemon, as --help prints them.
+enum class ExitCode : int {
+  Ok = 0,
+  Usage = 2,
+  InvalidSettings = 3,
+  CannotListen = 4,
+};
+
+/// @return The command line, or InvalidInput.
+[[nodiscard]] Result<CommandLine> parseCommandLine(int Count,
+                                                   const char *const *Values);
+
+/// @return The text that --help prints.
+[[nodiscard]] std::string helpText();
+
+} // namespace carawaypond::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/app/fwd.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace carawaypond::daemon {
+
+class Daemon;
+struct CommandLine;
+
+} // namespace carawaypond::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/log/fwd.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace carawaypond::daemon {
+
+struct LogSettings;
+
+} // namespace carawaypond::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/metrics/fwd.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace carawaypond::daemon {
+
+class Counters;
+class LatencyHistogram;
+class Metrics;
+
+} // namespace carawaypond::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/settings/fwd.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace carawaypond::daemon {
+
+struct ListenSettings;
+struct PolicySettings;
+struct Settings;
+
+} // namespace carawaypond::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/view/ControlView.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "coordination/model/IndexObject.h"
+#include "coordination/model/StoredService.h"
+#include "core/id/Ids.h"
+#include "core/time/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace carawaypond::daemon {
+
+/// @brief A VM as the traffic threads see it.
+struct VmView {
+  VmName Name;
+  Incarnation Life;
+  DataCentre Centre;
+  std::string PeerAddress;
+  std::string CallerAddress;
+  bool MayOwn = false; ///< Live, and not leaving.
+};
+
+/// @brief A service in force and the index that it searches.
+struct ServiceView {
+  std::shared_ptr<const StoredService> Stored;
+  std::shared_ptr<const IndexObject> Index; ///< Null while it is not known.
+};
+
+/// @brief What the control thread knows, for the traffic threads. Immutable
+/// once published.
+struct ControlView {
+  std::uint64_t Generation = 0; ///< Grows with each published view.
+  std::map<ServiceName, ServiceView> Services;
+  std::vector<VmView> Vms; ///< This VM included.
+  std::set<ServerName> LeavingServers;
+  bool Leaving = false; ///< This VM is stopping.
+
+  /// @return The VM of that name, or nullptr.
+  [[nodiscard]] const VmView *findVm(const VmName &Name) const;
+};
+
+} // namespace carawaypond::daemon
