--- a/packages/backend/src/backend/search/SearchCodec.cpp
+++ b/packages/backend/src/backend/search/SearchCodec.cpp
@@ -111,7 +111,9 @@
 }
 
 SearchOutcome outcomeOf(const Error &Failure) {
-  if (Failure.Code == ErrorCode::NotConnected)
+  bool IsNotSent = Failure.Code == ErrorCode::NotConnected ||
+                   Failure.Code == ErrorCode::Unavailable;
+  if (IsNotSent)
     return SearchNotSent{Failure};
   return SearchInDoubt{Failure};
 }
--- a/packages/backend/src/backend/search/SearchCodec.h
+++ b/packages/backend/src/backend/search/SearchCodec.h
@@ -9,7 +9,7 @@
 namespace carawaypond::backend {
 
 /// @brief Encodes a subrequest as `POST /v1/search`.
-/// @return The request, or InvalidInput when its text is not JSON.
+/// @param Search Its Request must be valid JSON.
 [[nodiscard]] http::Request encodeSearch(const SearchRequest &Search);
 
 /// @brief Decodes a server's answer to @p Search.
@@ -20,7 +20,8 @@
 [[nodiscard]] SearchOutcome decodeSearch(const SearchRequest &Search,
                                          const http::Response &Response);
 
-/// @brief Classifies a failure of the transport.
+/// @brief Classifies a failure of the transport: NotConnected and Unavailable
+/// (no free connection) mean that nothing was sent.
 [[nodiscard]] SearchOutcome outcomeOf(const Error &Failure);
 
 /// @brief Decodes the answer to `GET /v1/status`.
--- /dev/null
+++ b/packages/daemon/src/daemon/traffic/BackendFleet.cpp
@@ -0,0 +1,203 @@
+#include "daemon/traffic/BackendFleet.h"
+
+#include "coordination/ownership/Ownership.h"
+#include "daemon/log/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace carawaypond::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Milliseconds SendRecheck{5};
+constexpr Milliseconds CancelTimeout{500};
+constexpr Milliseconds StatusTimeout{1000};
+constexpr Milliseconds IdleConnectionLifetime{10'000};
+
+/// @brief Says whether a server was draining when it answered.
+struct DrainingVisitor {
+  bool operator()(const backend::SearchAnswer &O) const { return O.Draining; }
+  bool operator()(const backend::SearchRefused &O) const {
+    return O.Draining || O.Reason == "draining";
+  }
+  bool operator()(const backend::SearchFailed &O) const { return O.Draining; }
+  bool operator()(const backend::SearchInDoubt &) const { return false; }
+  bool operator()(const backend::SearchNotSent &) const { return false; }
+};
+
+} // namespace
+
+BackendFleet::BackendFleet(TrafficContext &Context, StateChange OnChange)
+    : m_Context(Context), m_OnChange(std::move(OnChange)) {}
+
+ServerState BackendFleet::stateOf(const ServerName &Server) const {
+  auto Found = m_Servers.find(Server);
+  return Found == m_Servers.end() ? ServerState::Down : Found->second.State;
+}
+
+std::uint64_t BackendFleet::connectionsOpened() const {
+  std::uint64_t Sum = m_OpenedByRemoved;
+  for (const auto &[Name, Server] : m_Servers)
+    Sum += Server.Pool->stats().Opened;
+  return Sum;
+}
+
+void BackendFleet::apply(const ControlView &View) {
+  std::vector<VmName> MayConnect;
+  for (const VmView &Vm : View.Vms)
+    MayConnect.push_back(Vm.Name);
+  std::set<ServerName> Named;
+  for (const auto &[Name, Service] : View.Services) {
+    if (!Service.Index)
+      continue;
+    for (const ServerInfo &Info : Service.Index->Servers) {
+      if (Named.insert(Info.Name).second)
+        applyServer(Info, View, MayConnect);
+    }
+  }
+  for (auto It = m_Servers.begin(); It != m_Servers.end();) {
+    if (Named.contains(It->first)) {
+      ++It;
+      continue;
+    }
+    m_OpenedByRemoved += It->second.Pool->stats().Opened;
+    It = m_Servers.erase(It);
+  }
+}
+
+void BackendFleet::applyServer(const ServerInfo &Info, const ControlView &View,
+                               const std::vector<VmName> &MayConnect) {
+  std::uint32_t Cap = connectionCap(Info.Name, Info.Connections,
+                                    m_Context.Config.Vm, MayConnect);
+  Entry &Server = m_Servers[Info.Name];
+  bool IsMoved =
+      Server.Pool && Server.Pool->options().Address != Info.Address;
+  if (!Server.Pool || IsMoved) {
+    if (Server.Pool)
+      m_OpenedByRemoved += Server.Pool->stats().Opened;
+    Server.Pool = std::make_shared<backend::ServerPool>(
+        m_Context.Io.get_executor(),
+        backend::ServerPoolOptions{.Server = Info.Name,
+                                   .Address = Info.Address,
+                                   .MaxConnections = Cap});
+  }
+  Server.Pool->setMaxConnections(Cap);
+  m_Slots.setSlots(Info.Name, std::min(Info.Slots, Cap));
+  bool IsLeaving = Info.Leaving || Server.SaidLeaving ||
+                   View.LeavingServers.contains(Info.Name);
+  if (IsLeaving)
+    setState(Info.Name, ServerState::Leaving);
+  else if (Server.State == ServerState::Leaving)
+    setState(Info.Name, ServerState::Up);
+}
+
+void BackendFleet::setState(const ServerName &Server, ServerState State) {
+  auto Found = m_Servers.find(Server);
+  if (Found == m_Servers.end())
+    return;
+  m_Slots.setState(Server, State);
+  if (Found->second.State == State)
+    return;
+  Found->second.State = State;
+  m_OnChange(Server, State);
+}
+
+void BackendFleet::noteDraining(const ServerName &Server) {
+  auto Found = m_Servers.find(Server);
+  if (Found == m_Servers.end() || Found->second.SaidLeaving)
+    return;
+  LOG4CXX_INFO(logger(), "backend server is draining server=" << Server);
+  Found->second.SaidLeaving = true;
+  m_Context.OnDrainSign(Server);
+  setState(Server, ServerState::Leaving);
+}
+
+void BackendFleet::noteReachable(const ServerName &Server, bool Reachable) {
+  ServerState State = stateOf(Server);
+  if (Reachable && State == ServerState::Down) {
+    LOG4CXX_INFO(logger(), "backend server is up server=" << Server);
+    setState(Server, ServerState::Up);
+  }
+  if (!Reachable && State == ServerState::Up) {
+    LOG4CXX_INFO(logger(), "backend server is down server=" << Server);
+    setState(Server, ServerState::Down);
+  }
+}
+
+void BackendFleet::noteOutcome(const ServerName &Server,
+                               const backend::SearchOutcome &Outcome) {
+  if (std::visit(DrainingVisitor{}, Outcome))
+    noteDraining(Server);
+  const auto *NotSent = std::get_if<backend::SearchNotSent>(&Outcome);
+  if (!NotSent || NotSent->Cause.Code != ErrorCode::NotConnected)
+    return;
+  noteReachable(Server, false);
+}
+
+asio::awaitable<backend::SearchOutcome>
+BackendFleet::search(ServerName Server, backend::SearchRequest Search) {
+  asio::steady_timer Timer(m_Context.Io);
+  while (!m_Context.Views.maySend(monotonicNow())) {
+    if (monotonicNow() >= Search.Deadline)
+      co_return backend::SearchRefused{.Reason = "deadline"};
+    Timer.expires_after(SendRecheck);
+    co_await Timer.async_wait(asio::use_awaitable);
+  }
+  if (stateOf(Server) == ServerState::Leaving)
+    co_return backend::SearchRefused{.Reason = "draining"};
+  auto Found = m_Servers.find(Server);
+  if (Found == m_Servers.end())
+    co_return backend::SearchNotSent{
+        Error{.Code = ErrorCode::Unavailable,
+              .Message = "server \"" + Server.value() + "\" is not known"}};
+  std::shared_ptr<backend::ServerPool> Pool = Found->second.Pool;
+  backend::SearchOutcome Outcome = co_await Pool->search(std::move(Search));
+  noteOutcome(Server, Outcome);
+  co_return Outcome;
+}
+
+void BackendFleet::cancel(const ServerName &Server, std::string Id) {
+  auto Found = m_Servers.find(Server);
+  if (Found == m_Servers.end())
+    return;
+  auto Ask = [](std::shared_ptr<backend::ServerPool> Pool,
+                std::string Cancelled) -> asio::awaitable<void> {
+    co_await Pool->cancel(std::move(Cancelled),
+                          monotonicNow() + CancelTimeout);
+  };
+  m_Context.Collected.count("cancels_total");
+  asio::co_spawn(m_Context.Io, Ask(Found->second.Pool, std::move(Id)),
+                 asio::detached);
+}
+
+asio::awaitable<Result<backend::ServerStatus>>
+BackendFleet::status(ServerName Server) {
+  auto Found = m_Servers.find(Server);
+  if (Found == m_Servers.end())
+    co_return failure(ErrorCode::NotFound,
+                      "server \"" + Server.value() + "\" is not known");
+  std::shared_ptr<backend::ServerPool> Pool = Found->second.Pool;
+  Result<backend::ServerStatus> Status =
+      co_await Pool->status(monotonicNow() + StatusTimeout);
+  bool IsBusy = !Status && Status.error().Code == ErrorCode::Unavailable;
+  if (!IsBusy)
+    noteReachable(Server, Status.has_value());
+  if (Status && Status.value().Draining)
+    noteDraining(Server);
+  co_return Status;
+}
+
+void BackendFleet::closeIdle() {
+  TimePoint Since = monotonicNow() - IdleConnectionLifetime;
+  for (auto &[Name, Server] : m_Servers)
+    Server.Pool->closeIdleSince(Since);
+}
+
+} // namespace carawaypond::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/traffic/ServiceTable.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "core/id/Ids.h"
+#include "daemon/traffic/ServiceRuntime.h"
+
+#include <map>
+#include <memory>
+
+namespace carawaypond::daemon {
+
+/// @brief The services in force, as one traffic thread keeps them.
+class ServiceTable {
+public:
+  using Entry = std::shared_ptr<ServiceRuntime>;
+
+  explicit ServiceTable(const PolicySettings &Policy) : m_Policy(Policy) {}
+
+  /// @return The service, or nullptr.
+  [[nodiscard]] Entry find(const ServiceName &Name) const;
+  [[nodiscard]] const std::map<ServiceName, Entry> &all() const {
+    return m_Services;
+  }
+
+  /// @brief Follows a new control view.
+  void apply(const ControlView &View);
+  /// @brief Tells every service whether a server may get work.
+  void setServerState(const ServerName &Server, ServerState State);
+
+private:
+  const PolicySettings &m_Policy;
+  std::map<ServiceName, Entry> m_Services;
+};
+
+} // namespace carawaypond::daemon
