--- /dev/null
+++ b/packages/coordination/src/coordination/internal/Mutant.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#ifdef CARAWAYPOND_MUTANTS
+#include <atomic>
+#endif
+
+namespace carawaypond::internal {
+
+/// @brief A mechanism that a proof can switch off, to show that it would
+/// notice. Each names what the library does without that mechanism.
+enum class Mutant {
+  None,
+  MixVersions,         ///< Takes an answer for any version into a result.
+  CoverageFromAnswers, ///< Takes the list of shards from who answered.
+  AcceptAnyQuery,      ///< Takes an answer without checking whose it is.
+  DoubtIsNotRun,       ///< Reports a lost subrequest as one that did not run.
+};
+
+#ifdef CARAWAYPOND_MUTANTS
+
+inline std::atomic<Mutant> ActiveMutant = Mutant::None;
+
+/// @return The mechanism that is switched off in this process.
+[[nodiscard]] inline Mutant activeMutant() { return ActiveMutant; }
+
+/// @brief Switches one mechanism off in the whole process.
+inline void setActiveMutant(Mutant Active) { ActiveMutant = Active; }
+
+#else
+
+/// @return None: nothing can be switched off in the shipped library.
+[[nodiscard]] constexpr Mutant activeMutant() { return Mutant::None; }
+
+#endif
+
+/// @return Whether @p Mechanism is switched off.
+[[nodiscard]] inline bool isMutant(Mutant Mechanism) {
+  return activeMutant() == Mechanism;
+}
+
+} // namespace carawaypond::internal
--- /dev/null
+++ b/packages/coordination/src/coordination/internal/fwd.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace carawaypond::internal {
+
+enum class Mutant;
+
+} // namespace carawaypond::internal
