--- /dev/null
+++ b/packages/coordination/src/coordination/budget/fwd.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace carawaypond {
+
+class ExtraLoadBudget;
+struct ExtraLoadOptions;
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/latency/fwd.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace carawaypond {
+
+class LatencyHistogram;
+class LatencyTracker;
+class ReplicaScores;
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/snapshot/SnapshotPinner.cpp
@@ -0,0 +1,29 @@
+#include "coordination/snapshot/SnapshotPinner.h"
+
+#include <utility>
+
+namespace carawaypond {
+
+Result<std::shared_ptr<const PinnedSnapshot>> SnapshotPinner::pin() {
+  if (!m_Fresh || m_PinnedRevision != m_Board.revision()) {
+    Result<PinnedSnapshot> Found = pinSnapshot(m_Index, m_Board);
+    m_Pinned =
+        Found ? std::make_shared<const PinnedSnapshot>(std::move(Found).value())
+              : nullptr;
+    m_WhyNot = Found ? std::string() : Found.error().Message;
+    m_PinnedRevision = m_Board.revision();
+    m_Fresh = true;
+  }
+  if (!m_Pinned)
+    return failure(ErrorCode::Unavailable, m_WhyNot);
+  return m_Pinned;
+}
+
+void SnapshotPinner::setIndex(IndexObject Index) {
+  if (Index.ObjectVersion < m_Index.ObjectVersion)
+    return;
+  m_Index = std::move(Index);
+  m_Fresh = false;
+}
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/subrequest/fwd.h
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace carawaypond {
+
+enum class SubReason;
+struct SubAnswered;
+struct SubInDoubt;
+struct SubNotRun;
+struct SubVersionGone;
+struct Subrequest;
+template <typename Id> class SerialIds;
+
+} // namespace carawaypond
