Queues over replica sets, query runs and admission

The owner's queue, the coordinator's run of one query and admission, as state machines over typed events. A restart on another version resends all shards; drawing that on the 5% extra-load budget was ruled out, since a restart of a 960-shard query would never be affordable, so restarts are counted instead (at most two a query).

--- /dev/null
+++ b/packages/coordination/src/coordination/admission/AdmissionControl.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "coordination/admission/ConcurrencyLimit.h"
+#include "coordination/queue/ClassScheduler.h"
+#include "coordination/subrequest/SubReason.h"
+#include "core/id/Ids.h"
+#include "core/time/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace carawaypond {
+
+/// @brief The query may be sent; report its end with finished().
+struct Admitted {};
+
+/// @brief The query must not be sent: answer it as "not run".
+struct AdmissionRefused {
+  SubReason Reason = SubReason::Overloaded;
+};
+
+using AdmissionVerdict = std::variant<Admitted, AdmissionRefused>;
+
+/// @brief Limits of one service at one VM.
+struct AdmissionOptions {
+  std::uint32_t ConcurrentQueries = 200;
+  std::vector<ClassShare> Classes;
+};
+
+/// @brief Decides which of a service's queries are sent at all.
+///
+/// Each class has a part of the limit for itself. It may use what others leave
+/// idle; while another class is short of its own part, it gets no more.
+class AdmissionControl {
+public:
+  explicit AdmissionControl(const AdmissionOptions &Options);
+
+  [[nodiscard]] std::uint32_t inUse() const { return m_InUse; }
+  [[nodiscard]] std::uint32_t limit() const { return m_Limit.current(); }
+  /// @return How long a query would wait for a slot, by the latest reports.
+  [[nodiscard]] Duration expectedWait(TimePoint Now) const;
+
+  /// @brief Decides about a new query, and counts it when admitted.
+  [[nodiscard]] AdmissionVerdict admit(const ClassName &Class,
+                                       TimePoint Deadline, TimePoint Now);
+  /// @brief An admitted query has ended.
+  /// @param MetDeadline False when a shard was missed for lack of time.
+  void finished(const ClassName &Class, bool MetDeadline, TimePoint Now);
+  /// @brief Takes a queue's expected wait, from this VM or from an owner.
+  void noteExpectedWait(Duration Wait, TimePoint Now);
+  /// @brief Takes other limits; queries under way go on.
+  void reconfigure(const AdmissionOptions &Options);
+
+private:
+  struct ClassUse {
+    double Share = 0;
+    std::uint32_t InUse = 0;
+    std::optional<TimePoint> LastAsked;
+  };
+
+  [[nodiscard]] std::uint32_t guaranteed(const ClassUse &Use) const;
+  [[nodiscard]] std::uint32_t reservedForOthers(const ClassUse &Use,
+                                                TimePoint Now) const;
+  void setShares(const std::vector<ClassShare> &Classes);
+
+  std::map<ClassName, ClassUse> m_Classes;
+  ConcurrencyLimit m_Limit;
+  std::uint32_t m_InUse = 0;
+  Duration m_Wait{};
+  TimePoint m_WaitAt{};
+};
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/admission/fwd.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace carawaypond {
+
+class AdmissionControl;
+class ConcurrencyLimit;
+struct Admitted;
+struct AdmissionRefused;
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/query/QueryRun.cpp
@@ -0,0 +1,444 @@
+#include "coordination/query/QueryRun.h"
+
+#include "coordination/internal/Mutant.h"
+#include "core/invariant/Invariant.h"
+
+#include <algorithm>
+
+namespace carawaypond {
+
+namespace {
+
+using internal::isMutant;
+using internal::Mutant;
+
+/// Whether another VM may do better than the owner that said this.
+bool isAboutOwner(SubReason Reason) {
+  return Reason == SubReason::NoOwner || Reason == SubReason::NotConnected;
+}
+
+} // namespace
+
+struct QueryRun::OutcomeVisitor {
+  QueryRun &Run;
+  Send &Sent;
+  TimePoint Now;
+  QueryActions &Out;
+
+  [[nodiscard]] bool isCurrent() const { return Sent.Round == Run.m_Round; }
+  [[nodiscard]] ShardRun &shard() const { return Run.m_Shards[Sent.Shard]; }
+
+  void operator()(const SubAnswered &Answer) const {
+    Run.setState(Sent, SendState::Ran);
+    if (!isCurrent()) {
+      ++Run.m_Counters.LateAnswers;
+      return;
+    }
+    if (Run.isPinned(Answer) || isMutant(Mutant::MixVersions)) {
+      Run.accept(shard(), Answer, Out);
+      return;
+    }
+    ++Run.m_Counters.WrongVersions;
+    Run.giveUp(shard(), SubReason::WrongVersion);
+  }
+
+  void operator()(const SubNotRun &Refusal) const {
+    Run.setState(Sent, SendState::NotRun);
+    if (!isCurrent())
+      return;
+    if (isAboutOwner(Refusal.Reason))
+      Run.rerouteOrGiveUp(Sent.Shard, Refusal.Reason, Now, Out);
+    else
+      Run.giveUp(shard(), Refusal.Reason);
+  }
+
+  void operator()(const SubInDoubt &Doubt) const {
+    Run.setState(Sent, SendState::InDoubt);
+    if (isCurrent())
+      Run.giveUp(shard(), Doubt.Reason);
+  }
+
+  void operator()(const SubVersionGone &Gone) const {
+    Run.setState(Sent, SendState::NotRun);
+    for (const ReplicaVersions &Replica : Gone.Served)
+      for (const VersionRange &Range : Replica.Ranges)
+        Run.m_Resources.Pinner.board().noteRefusal(Replica.Server,
+                                                   Replica.Shard, Range, Now);
+    if (!isCurrent())
+      return;
+    if (!Run.restart(Now, Out))
+      Run.giveUp(shard(), SubReason::VersionGone);
+  }
+};
+
+QueryRun::QueryRun(Query Asked, QueryResources Resources,
+                   QueryRunOptions Options)
+    : m_Query(std::move(Asked)), m_Resources(Resources), m_Options(Options) {}
+
+std::optional<TimePoint> QueryRun::nextWake() const {
+  if (m_Finished)
+    return std::nullopt;
+  if (m_Turns.empty())
+    return m_Query.Deadline;
+  return std::min(m_Query.Deadline, m_Turns.begin()->first);
+}
+
+QueryActions QueryRun::start(TimePoint Now) {
+  QueryActions Out;
+  if (m_Query.Deadline <= Now) {
+    finish(QueryNotRun{.Reason = SubReason::Deadline}, Out);
+    return Out;
+  }
+  auto Pinned = m_Resources.Pinner.pin();
+  if (!Pinned || Pinned.value()->Shards.empty()) {
+    finish(QueryNotRun{.Reason = SubReason::NoSnapshot}, Out);
+    return Out;
+  }
+  begin(Pinned.value(), Now, Out);
+  concludeIfSettled(Now, Out);
+  return Out;
+}
+
+/// Sends a subrequest for each shard of a newly pinned snapshot.
+void QueryRun::begin(std::shared_ptr<const PinnedSnapshot> Pinned,
+                     TimePoint Now, QueryActions &Out) {
+  m_Pinned = std::move(Pinned);
+  m_Turns.clear();
+  m_Shards.clear();
+  m_Shards.reserve(m_Pinned->Shards.size());
+  m_Unsettled = m_Pinned->Shards.size();
+  for (const PinnedShard &Shard : m_Pinned->Shards)
+    addShard(Shard, Now, Out);
+}
+
+void QueryRun::addShard(const PinnedShard &Pinned, TimePoint Now,
+                        QueryActions &Out) {
+  std::size_t Place = m_Shards.size();
+  ShardRun &Shard = m_Shards.emplace_back();
+  Shard.Id = Pinned.Replicas.Shard;
+  Shard.Routes = m_Resources.Routes.routesFor(m_Query.Service, Pinned.Replicas);
+  if (!Pinned.Reachable) {
+    giveUp(Shard, SubReason::NoReplica);
+  } else if (Shard.Routes.empty()) {
+    giveUp(Shard, SubReason::NoOwner);
+  } else {
+    m_Resources.Budget.countPrimary();
+    sendNext(Place, Now, Out);
+  }
+}
+
+/// Sends to the shard's next route; the caller has paid for it.
+void QueryRun::sendNext(std::size_t Place, TimePoint Now, QueryActions &Out) {
+  ShardRun &Shard = m_Shards[Place];
+  CARAWAYPOND_INVARIANT(Now < m_Query.Deadline,
+                        "a subrequest was handed on past its deadline");
+  CARAWAYPOND_INVARIANT(
+      m_Query.Repeatable || std::all_of(Shard.Sends.begin(), Shard.Sends.end(),
+                                        [&](SubrequestId Id) {
+                                          return m_Sends.at(Id).State ==
+                                                 SendState::NotRun;
+                                        }),
+      "a subrequest that is not repeatable was handed on again");
+  const Route &To = Shard.Routes[Shard.NextRoute++];
+  SubrequestId Id = m_Resources.Ids.next();
+  Shard.Sends.push_back(Id);
+  m_Sends.emplace(Id, Send{.Owner = To.Vm,
+                           .Shard = Place,
+                           .Id = Shard.Id,
+                           .Round = m_Round,
+                           .State = SendState::Outstanding});
+  ++m_PossiblyRun;
+  ++m_Counters.Sends;
+  if (m_Query.Repeatable && Shard.NextRoute < Shard.Routes.size())
+    armTurn(Place, Now + m_Options.OwnerSilence);
+  Out.push_back(SendSubrequest{.Owner = To.Vm,
+                               .Request = {.Id = Id,
+                                           .Service = m_Query.Service,
+                                           .Class = m_Query.Class,
+                                           .Shard = Shard.Id,
+                                           .Replica = To.Replica,
+                                           .Version = m_Pinned->Version,
+                                           .Layout = m_Pinned->Layout,
+                                           .Deadline = m_Query.Deadline,
+                                           .Repeatable = m_Query.Repeatable,
+                                           .Request = m_Query.Request}});
+}
+
+bool QueryRun::isPinned(const SubAnswered &Answer) const {
+  return Answer.Version == m_Pinned->Version &&
+         Answer.Layout == m_Pinned->Layout;
+}
+
+/// @return The send that the event is for, or nullptr when it is another
+/// query's.
+QueryRun::Send *QueryRun::findSend(const SubrequestEnded &Event) {
+  auto Found = m_Sends.find(Event.Id);
+  if (Found != m_Sends.end() && Found->second.Id == Event.Shard)
+    return &Found->second;
+  ++m_Counters.ForeignAnswers;
+  if (!isMutant(Mutant::AcceptAnyQuery))
+    return nullptr;
+  auto Same = std::find_if(m_Sends.begin(), m_Sends.end(), [&](auto &Each) {
+    return Each.second.Id == Event.Shard && Each.second.Round == m_Round;
+  });
+  return Same == m_Sends.end() ? nullptr : &Same->second;
+}
+
+void QueryRun::setState(Send &Sent, SendState State) {
+  if (Sent.State != SendState::NotRun)
+    --m_PossiblyRun;
+  Sent.State = State;
+  if (State != SendState::NotRun)
+    ++m_PossiblyRun;
+}
+
+QueryActions QueryRun::onEnded(const SubrequestEnded &Event, TimePoint Now) {
+  QueryActions Out;
+  if (m_Finished) {
+    ++m_Counters.LateAnswers;
+    return Out;
+  }
+  Send *Sent = findSend(Event);
+  if (Sent == nullptr)
+    return Out;
+  bool IsOpen = Sent->State == SendState::Outstanding ||
+                Sent->State == SendState::InDoubt;
+  if (!IsOpen) {
+    ++m_Counters.LateAnswers;
+    return Out;
+  }
+  if (m_Query.Deadline <= Now)
+    return tick(Now);
+  std::visit(
+      OutcomeVisitor{.Run = *this, .Sent = *Sent, .Now = Now, .Out = Out},
+      Event.Outcome);
+  concludeIfSettled(Now, Out);
+  return Out;
+}
+
+QueryActions QueryRun::onOwnerLost(SubrequestId Id, bool MaySent,
+                                   TimePoint Now) {
+  QueryActions Out;
+  auto Found = m_Sends.find(Id);
+  if (m_Finished || Found == m_Sends.end() ||
+      Found->second.State != SendState::Outstanding)
+    return Out;
+  Send &Sent = Found->second;
+  setState(Sent, MaySent ? SendState::InDoubt : SendState::NotRun);
+  if (Sent.Round == m_Round)
+    rerouteOrGiveUp(Sent.Shard,
+                    MaySent ? SubReason::ConnectionLost : SubReason::NoOwner,
+                    Now, Out);
+  concludeIfSettled(Now, Out);
+  return Out;
+}
+
+QueryActions QueryRun::tick(TimePoint Now) {
+  QueryActions Out;
+  if (m_Finished)
+    return Out;
+  if (m_Query.Deadline <= Now)
+    finish(result(), Out);
+  else
+    turnFromSilent(Now, Out);
+  return Out;
+}
+
+QueryActions QueryRun::cancel(TimePoint /*Now*/) {
+  QueryActions Out;
+  if (!m_Finished)
+    finish(result(), Out);
+  return Out;
+}
+
+void QueryRun::accept(ShardRun &Shard, const SubAnswered &Answer,
+                      QueryActions &Out) {
+  if (Shard.Answer) {
+    ++m_Counters.LateAnswers;
+    return;
+  }
+  Shard.Answer = ShardAnswer{.Shard = Shard.Id,
+                             .Version = Answer.Version,
+                             .Layout = Answer.Layout,
+                             .Payload = Answer.Payload};
+  for (SubrequestId Id : Shard.Sends)
+    cancelSend(Id, Out);
+  settle(Shard);
+}
+
+bool QueryRun::hasOutstanding(const ShardRun &Shard) const {
+  return std::any_of(Shard.Sends.begin(), Shard.Sends.end(),
+                     [&](SubrequestId Id) {
+                       return m_Sends.at(Id).State == SendState::Outstanding;
+                     });
+}
+
+bool QueryRun::mayReroute(const ShardRun &Shard, TimePoint Now) const {
+  if (Shard.Answer || Shard.NextRoute >= Shard.Routes.size() ||
+      m_Query.Deadline <= Now)
+    return false;
+  if (m_Query.Repeatable)
+    return true;
+  return std::all_of(Shard.Sends.begin(), Shard.Sends.end(),
+                     [&](SubrequestId Id) {
+                       return m_Sends.at(Id).State == SendState::NotRun;
+                     });
+}
+
+void QueryRun::giveUp(ShardRun &Shard, SubReason Reason) {
+  if (Shard.Answer || hasOutstanding(Shard))
+    return;
+  Shard.Reason = Reason;
+  settle(Shard);
+}
+
+void QueryRun::rerouteOrGiveUp(std::size_t Place, SubReason Reason,
+                               TimePoint Now, QueryActions &Out) {
+  ShardRun &Shard = m_Shards[Place];
+  bool IsReroute = !Shard.Settled && !hasOutstanding(Shard) &&
+                   mayReroute(Shard, Now) && m_Resources.Budget.trySpend();
+  if (!IsReroute) {
+    giveUp(Shard, Reason);
+    return;
+  }
+  disarmTurn(Place);
+  ++m_Counters.Reroutes;
+  sendNext(Place, Now, Out);
+}
+
+void QueryRun::settle(ShardRun &Shard) {
+  if (Shard.Settled)
+    return;
+  Shard.Settled = true;
+  --m_Unsettled;
+  disarmTurn(static_cast<std::size_t>(&Shard - m_Shards.data()));
+}
+
+void QueryRun::armTurn(std::size_t Place, TimePoint At) {
+  disarmTurn(Place);
+  m_Shards[Place].TurnAt = At;
+  m_Turns.emplace(At, Place);
+}
+
+void QueryRun::disarmTurn(std::size_t Place) {
+  ShardRun &Shard = m_Shards[Place];
+  if (Shard.TurnAt)
+    m_Turns.erase({*Shard.TurnAt, Place});
+  Shard.TurnAt.reset();
+}
+
+void QueryRun::turnFromSilent(TimePoint Now, QueryActions &Out) {
+  while (!m_Turns.empty() && m_Turns.begin()->first <= Now) {
+    std::size_t Place = m_Turns.begin()->second;
+    disarmTurn(Place);
+    if (!mayReroute(m_Shards[Place], Now) || !m_Resources.Budget.trySpend())
+      continue;
+    ++m_Counters.Reroutes;
+    sendNext(Place, Now, Out);
+  }
+}
+
+/// Starts over on the version that can be pinned now, if it is another one.
+bool QueryRun::restart(TimePoint Now, QueryActions &Out) {
+  bool IsAllowed = m_Query.Repeatable || m_PossiblyRun == 0;
+  if (!IsAllowed || m_Counters.Restarts >= m_Options.MaxRestarts ||
+      m_Query.Deadline <= Now)
+    return false;
+  auto Pinned = m_Resources.Pinner.pin();
+  if (!Pinned || Pinned.value()->Shards.empty() ||
+      Pinned.value()->isSameAs(*m_Pinned))
+    return false;
+  cancelOutstanding(Out);
+  ++m_Counters.Restarts;
+  ++m_Round;
+  begin(Pinned.value(), Now, Out);
+  return true;
+}
+
+void QueryRun::cancelSend(SubrequestId Id, QueryActions &Out) {
+  const Send &Sent = m_Sends.at(Id);
+  if (Sent.State == SendState::Outstanding)
+    Out.push_back(CancelSubrequest{.Owner = Sent.Owner, .Id = Id});
+}
+
+void QueryRun::cancelOutstanding(QueryActions &Out) {
+  for (const ShardRun &Shard : m_Shards)
+    if (!Shard.Answer)
+      for (SubrequestId Id : Shard.Sends)
+        cancelSend(Id, Out);
+}
+
+void QueryRun::concludeIfSettled(TimePoint Now, QueryActions &Out) {
+  if (m_Finished || m_Unsettled > 0)
+    return;
+  bool AnyGone =
+      std::any_of(m_Shards.begin(), m_Shards.end(), [](const ShardRun &Shard) {
+        return !Shard.Answer && Shard.Reason == SubReason::VersionGone;
+      });
+  if (AnyGone && restart(Now, Out)) {
+    concludeIfSettled(Now, Out);
+    return;
+  }
+  finish(result(), Out);
+}
+
+bool QueryRun::mayHaveRun() const {
+  return m_PossiblyRun > 0 && !isMutant(Mutant::DoubtIsNotRun);
+}
+
+QueryResult QueryRun::result() const {
+  std::vector<ShardAnswer> Answers;
+  std::vector<MissingShard> Missing;
+  for (const ShardRun &Shard : m_Shards) {
+    if (Shard.Answer)
+      Answers.push_back(*Shard.Answer);
+    else if (!isMutant(Mutant::CoverageFromAnswers))
+      Missing.push_back({.Shard = Shard.Id, .Reason = Shard.Reason});
+  }
+  CARAWAYPOND_INVARIANT(isMutant(Mutant::CoverageFromAnswers) ||
+                            Answers.size() + Missing.size() ==
+                                m_Pinned->Shards.size(),
+                        "coverage does not add up to the layout's shards");
+  for (const ShardAnswer &Answer : Answers)
+    CARAWAYPOND_INVARIANT(isMutant(Mutant::MixVersions) ||
+                              (Answer.Version == m_Pinned->Version &&
+                               Answer.Layout == m_Pinned->Layout),
+                          "a result of more than one version");
+  if (!Missing.empty() || Answers.empty())
+    return resultWithoutAll(std::move(Answers), std::move(Missing));
+  return QueryComplete{.Version = m_Pinned->Version,
+                       .Layout = m_Pinned->Layout,
+                       .Answers = std::move(Answers)};
+}
+
+/// The outcome when not every shard answered.
+QueryResult
+QueryRun::resultWithoutAll(std::vector<ShardAnswer> Answers,
+                           std::vector<MissingShard> Missing) const {
+  SubReason Reason =
+      Missing.empty() ? SubReason::NoSnapshot : Missing.front().Reason;
+  // A send that is not repeatable and brought no answer is in doubt unless it
+  // is known not to have run.
+  bool IsInDoubt = m_Query.Repeatable
+                       ? Answers.empty() && mayHaveRun()
+                       : mayHaveRun() && m_PossiblyRun > Answers.size();
+  if (IsInDoubt)
+    return QueryUnknown{.Reason = Reason};
+  if (!Answers.empty())
+    return QueryPartial{.Version = m_Pinned->Version,
+                        .Layout = m_Pinned->Layout,
+                        .Answers = std::move(Answers),
+                        .Missing = std::move(Missing)};
+  CARAWAYPOND_INVARIANT(isMutant(Mutant::DoubtIsNotRun) || m_PossiblyRun == 0,
+                        "\"not run\" for a query that may have run");
+  return QueryNotRun{.Reason = Reason};
+}
+
+void QueryRun::finish(QueryResult Result, QueryActions &Out) {
+  m_Finished = true;
+  cancelOutstanding(Out);
+  Out.push_back(FinishQuery{.Result = std::move(Result)});
+  m_Turns.clear();
+}
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/query/QueryRun.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include "coordination/budget/ExtraLoadBudget.h"
+#include "coordination/ownership/RouteTable.h"
+#include "coordination/query/QueryActions.h"
+#include "coordination/snapshot/SnapshotPinner.h"
+#include "coordination/subrequest/SerialIds.h"
+#include "coordination/subrequest/SubOutcome.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace carawaypond {
+
+/// @brief A caller's query, with its limits.
+struct Query {
+  ServiceName Service;
+  ClassName Class;
+  TimePoint Deadline;
+  bool Repeatable = true;
+  std::shared_ptr<const std::string> Request; ///< JSON.
+};
+
+/// @brief When a coordinator stops waiting for an owner.
+struct QueryRunOptions {
+  Duration OwnerSilence = Milliseconds(40); ///< Then the next VM is tried.
+  std::uint32_t MaxRestarts = 2;            ///< On another version.
+};
+
+/// @brief What queries of one service at one VM share; each must outlive them.
+struct QueryResources {
+  SnapshotPinner &Pinner;
+  const RouteTable &Routes;
+  ExtraLoadBudget &Budget;
+  SerialIds<SubrequestId> &Ids;
+};
+
+/// @brief An outcome that arrived for a subrequest.
+struct SubrequestEnded {
+  SubrequestId Id;
+  ShardId Shard;
+  SubOutcome Outcome;
+};
+
+/// @brief What a query has counted.
+struct QueryCounters {
+  std::uint32_t Sends = 0;
+  std::uint32_t Reroutes = 0;
+  std::uint32_t Restarts = 0;
+  std::uint32_t ForeignAnswers = 0; ///< For subrequests of other queries.
+  std::uint32_t LateAnswers = 0;    ///< For subrequests that were settled.
+  std::uint32_t WrongVersions = 0;  ///< For another version than pinned.
+};
+
+/// @brief The coordinator's side of one query: pins a snapshot, sends one
+/// subrequest for each of its shards, and decides what the caller is told.
+///
+/// A restart on another version resends all shards outside the extra-load
+/// budget, at most MaxRestarts times.
+class QueryRun {
+public:
+  QueryRun(Query Asked, QueryResources Resources, QueryRunOptions Options);
+
+  [[nodiscard]] bool finished() const { return m_Finished; }
+  [[nodiscard]] const QueryCounters &counters() const { return m_Counters; }
+  /// @return When tick() is due next; nothing once finished.
+  [[nodiscard]] std::optional<TimePoint> nextWake() const;
+
+  /// @brief Pins and sends. To be called once, first.
+  [[nodiscard]] QueryActions start(TimePoint Now);
+  /// @brief An outcome arrived; late, repeated and foreign ones are harmless.
+  [[nodiscard]] QueryActions onEnded(const SubrequestEnded &Event,
+                                     TimePoint Now);
+  /// @brief The owner can't be reached, or the call to it broke.
+  /// @param MaySent False when no byte of the subrequest left this VM.
+  [[nodiscard]] QueryActions onOwnerLost(SubrequestId Id, bool MaySent,
+                                         TimePoint Now);
+  /// @brief Turns away from silent owners, and finishes at the deadline.
+  [[nodiscard]] QueryActions tick(TimePoint Now);
+  /// @brief The caller has gone.
+  [[nodiscard]] QueryActions cancel(TimePoint Now);
+
+private:
+  /// How far one send is known to have gone.
+  enum class SendState { Outstanding, NotRun, InDoubt, Ran };
+
+  struct Send {
+    VmName Owner;
+    std::size_t Shard = 0; ///< Its place in m_Shards, in that round.
+    ShardId Id;
+    std::uint32_t Round = 0; ///< The restart that it belongs to.
+    SendState State = SendState::Outstanding;
+  };
+
+  struct ShardRun {
+    ShardId Id;
+    std::vector<Route> Routes;
+    std::size_t NextRoute = 0;
+    std::vector<SubrequestId> Sends; ///< Of this round.
+    std::optional<TimePoint> TurnAt; ///< When the owner counts as silent.
+    std::optional<ShardAnswer> Answer;
+    SubReason Reason = SubReason::Timeout; ///< Why there is no answer.
+    bool Settled = false; ///< Nothing more is expected, but may come.
+  };
+
+  /// @brief Applies one outcome to the send that it is for.
+  struct OutcomeVisitor;
+
+  [[nodiscard]] bool mayHaveRun() const;
+  [[nodiscard]] bool hasOutstanding(const ShardRun &Shard) const;
+  [[nodiscard]] bool mayReroute(const ShardRun &Shard, TimePoint Now) const;
+  [[nodiscard]] bool isPinned(const SubAnswered &Answer) const;
+  [[nodiscard]] QueryResult result() const;
+  [[nodiscard]] QueryResult
+  resultWithoutAll(std::vector<ShardAnswer> Answers,
+                   std::vector<MissingShard> Missing) const;
+
+  Send *findSend(const SubrequestEnded &Event);
+  void setState(Send &Sent, SendState State);
+  void begin(std::shared_ptr<const PinnedSnapshot> Pinned, TimePoint Now,
+             QueryActions &Out);
+  void addShard(const PinnedShard &Pinned, TimePoint Now, QueryActions &Out);
+  void sendNext(std::size_t Place, TimePoint Now, QueryActions &Out);
+  void accept(ShardRun &Shard, const SubAnswered &Answer, QueryActions &Out);
+  void giveUp(ShardRun &Shard, SubReason Reason);
+  void rerouteOrGiveUp(std::size_t Place, SubReason Reason, TimePoint Now,
+                       QueryActions &Out);
+  void armTurn(std::size_t Place, TimePoint At);
+  void disarmTurn(std::size_t Place);
+  void settle(ShardRun &Shard);
+  void turnFromSilent(TimePoint Now, QueryActions &Out);
+  bool restart(TimePoint Now, QueryActions &Out);
+  void cancelSend(SubrequestId Id, QueryActions &Out);
+  void cancelOutstanding(QueryActions &Out);
+  void concludeIfSettled(TimePoint Now, QueryActions &Out);
+  void finish(QueryResult Result, QueryActions &Out);
+
+  Query m_Query;
+  QueryResources m_Resources;
+  QueryRunOptions m_Options;
+  std::shared_ptr<const PinnedSnapshot> m_Pinned;
+  std::vector<ShardRun> m_Shards;                 ///< In the snapshot's order.
+  std::unordered_map<SubrequestId, Send> m_Sends; ///< Of all rounds.
+  std::set<std::pair<TimePoint, std::size_t>> m_Turns;
+  QueryCounters m_Counters;
+  std::uint32_t m_Round = 0;
+  std::size_t m_Unsettled = 0;
+  std::size_t m_PossiblyRun = 0; ///< Sends not known to have not run.
+  bool m_Finished = false;
+};
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/query/fwd.h
@@ -0,0 +1,17 @@
+#pragma once
+
+namespace carawaypond {
+
+class QueryRun;
+struct CancelSubrequest;
+struct FinishQuery;
+struct MissingShard;
+struct Query;
+struct QueryComplete;
+struct QueryNotRun;
+struct QueryPartial;
+struct QueryUnknown;
+struct SendSubrequest;
+struct ShardAnswer;
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/queue/ReplicaSetQueue.cpp
@@ -0,0 +1,439 @@
+#include "coordination/queue/ReplicaSetQueue.h"
+
+#include "coordination/internal/Mutant.h"
+#include "core/invariant/Invariant.h"
+
+#include <algorithm>
+
+namespace carawaypond {
+
+namespace {
+
+using internal::isMutant;
+using internal::Mutant;
+
+constexpr double TypicalQuantile = 0.5;
+constexpr Duration DefaultService = Milliseconds(5);
+
+bool contains(const std::vector<ServerName> &Servers, const ServerName &Name) {
+  return std::find(Servers.begin(), Servers.end(), Name) != Servers.end();
+}
+
+int rankOf(Serves Known) {
+  if (Known == Serves::Yes)
+    return 0;
+  return Known == Serves::Unknown ? 1 : 2;
+}
+
+} // namespace
+
+ReplicaSetQueue::ReplicaSetQueue(ReplicaSetQueueOptions Options,
+                                 QueueResources Resources)
+    : m_Options(std::move(Options)), m_Resources(Resources),
+      m_Scheduler(m_Options.Classes) {}
+
+std::optional<TimePoint> ReplicaSetQueue::nextWake() const {
+  std::optional<TimePoint> Next;
+  if (!m_Deadlines.empty())
+    Next = m_Deadlines.begin()->first;
+  if (!m_HedgeTimers.empty())
+    Next =
+        std::min(Next.value_or(TimePoint::max()), m_HedgeTimers.begin()->first);
+  return Next;
+}
+
+Duration ReplicaSetQueue::expectedWait(const ClassName &Class,
+                                       TimePoint Now) const {
+  std::uint32_t Slots = 0;
+  bool AnyFree = false;
+  for (const ServerName &Server : m_Options.Replicas) {
+    if (m_Resources.Slots.stateOf(Server) != ServerState::Up)
+      continue;
+    Slots += m_Resources.Slots.slots(Server);
+    AnyFree = AnyFree || m_Resources.Slots.hasFree(Server);
+  }
+  if (waiting() == 0 && AnyFree)
+    return Duration::zero();
+  if (Slots == 0)
+    return Duration::max();
+  Duration Service = m_Resources.Latencies.quantile(Class, TypicalQuantile, Now)
+                         .value_or(DefaultService);
+  return Service * (waiting() + 1) / Slots;
+}
+
+/// Replicas that may get the entry, of those the ones that best serve its
+/// version; whether a slot is free does not count.
+std::vector<ServerName> ReplicaSetQueue::candidates(const Entry &E) const {
+  constexpr int WorstRank = 3;
+  std::vector<ServerName> Best;
+  int BestRank = WorstRank;
+  for (const ServerName &Server : m_Options.Replicas) {
+    if (contains(E.Tried, Server) ||
+        m_Resources.Slots.stateOf(Server) != ServerState::Up)
+      continue;
+    int Rank = rankOf(m_Resources.Versions.serves(
+        Server, E.Request.Shard, E.Request.Layout, E.Request.Version));
+    if (Rank > BestRank)
+      continue;
+    if (Rank < BestRank)
+      Best.clear();
+    BestRank = Rank;
+    Best.push_back(Server);
+  }
+  return Best;
+}
+
+std::optional<ServerName> ReplicaSetQueue::chooseFree(const Entry &E,
+                                                      TimePoint Now) const {
+  std::optional<ServerName> Chosen;
+  Duration Least = Duration::max();
+  for (const ServerName &Server : candidates(E)) {
+    if (!m_Resources.Slots.hasFree(Server))
+      continue;
+    Duration Expected = m_Resources.Scores.expected(Server, Now) *
+                        (m_Resources.Slots.inUse(Server) + 1) /
+                        m_Resources.Slots.slots(Server);
+    if (Expected >= Least)
+      continue;
+    Least = Expected;
+    Chosen = Server;
+  }
+  return Chosen;
+}
+
+/// Whether the entry would miss its deadline even if it were sent at once,
+/// while others wait for the slot.
+bool ReplicaSetQueue::isHopeless(const Entry &E, TimePoint Now) const {
+  if (waiting() == 0)
+    return false;
+  std::optional<Duration> Typical =
+      m_Resources.Latencies.quantile(E.Request.Class, TypicalQuantile, Now);
+  return Typical && E.Request.Deadline - Now < *Typical;
+}
+
+Duration ReplicaSetQueue::hedgeDelay(const Entry &E, TimePoint Now) const {
+  Duration Delay = m_Resources.Latencies
+                       .quantile(E.Request.Class, m_Options.HedgeQuantile, Now)
+                       .value_or(m_Options.DefaultHedgeDelay);
+  return std::max(Delay, m_Options.MinHedgeDelay);
+}
+
+QueueActions ReplicaSetQueue::enqueue(Subrequest Request, TimePoint Now) {
+  QueueActions Out;
+  SubrequestId Id = Request.Id;
+  if (m_Entries.contains(Id))
+    return Out;
+  Entry &E = m_Entries[Id];
+  E.Request = std::move(Request);
+  E.Waiting = true;
+  m_Deadlines.emplace(E.Request.Deadline, Id);
+  m_Scheduler.push(E.Request.Class, E.Request.Deadline, Id);
+  if (candidates(E).empty())
+    complete(Id, SubNotRun{.Reason = SubReason::NoReplica}, Out);
+  pump(Now, Out);
+  return Out;
+}
+
+void ReplicaSetQueue::onStarted(AttemptId Id, TimePoint Now) {
+  auto Found = m_Attempts.find(Id);
+  if (Found != m_Attempts.end())
+    Found->second.SentAt = Now;
+}
+
+/// Takes an attempt off the books and frees its slot.
+std::optional<ReplicaSetQueue::Attempt>
+ReplicaSetQueue::endAttempt(AttemptId Id) {
+  auto Found = m_Attempts.find(Id);
+  if (Found == m_Attempts.end()) {
+    ++m_Counters.LateEvents;
+    return std::nullopt;
+  }
+  Attempt Ended = std::move(Found->second);
+  m_Attempts.erase(Found);
+  m_Resources.Slots.release(Ended.Server);
+  return Ended;
+}
+
+/// @return The attempt's entry, without the attempt, or nullptr when the entry
+/// has completed.
+ReplicaSetQueue::Entry *ReplicaSetQueue::entryOf(const Attempt &Ended,
+                                                 AttemptId Id) {
+  auto Found = m_Entries.find(Ended.Request);
+  if (Found == m_Entries.end())
+    return nullptr;
+  std::erase(Found->second.Live, Id);
+  return &Found->second;
+}
+
+QueueActions ReplicaSetQueue::onAnswered(AttemptId Id, SubAnswered Answer,
+                                         TimePoint Now) {
+  QueueActions Out;
+  std::optional<Attempt> Ended = endAttempt(Id);
+  if (!Ended)
+    return Out;
+  m_Resources.Latencies.record(Ended->Class, Now - Ended->SentAt, Now);
+  m_Resources.Scores.noteLatency(Ended->Server, Now - Ended->SentAt, Now);
+  Entry *E = entryOf(*Ended, Id);
+  if (E != nullptr) {
+    bool IsPinned = Answer.Version == E->Request.Version &&
+                    Answer.Layout == E->Request.Layout;
+    if (IsPinned || isMutant(Mutant::MixVersions)) {
+      noteLosers(*E, Now);
+      complete(E->Request.Id, std::move(Answer), Out);
+    } else {
+      ++m_Counters.WrongVersions;
+      E->MayHaveRun = true;
+      E->Reason = SubReason::WrongVersion;
+      settle(*E, Now, Out);
+    }
+  }
+  pump(Now, Out);
+  return Out;
+}
+
+/// The attempts that an answer overtook are known to be at least this slow.
+void ReplicaSetQueue::noteLosers(const Entry &E, TimePoint Now) {
+  for (AttemptId Id : E.Live) {
+    const Attempt &Loser = m_Attempts.at(Id);
+    m_Resources.Scores.noteLatency(Loser.Server, Now - Loser.SentAt, Now);
+  }
+}
+
+QueueActions ReplicaSetQueue::onRefused(AttemptId Id,
+                                        const ServerRefusal &Refusal,
+                                        TimePoint Now) {
+  QueueActions Out;
+  std::optional<Attempt> Ended = endAttempt(Id);
+  if (!Ended)
+    return Out;
+  bool IsVersion = isAboutVersion(Refusal.Reason);
+  if (!IsVersion && Refusal.Reason != SubReason::Cancelled)
+    m_Resources.Scores.noteRefusal(Ended->Server, Now);
+  Entry *E = entryOf(*Ended, Id);
+  if (E != nullptr) {
+    E->Reason = Refusal.Reason;
+    E->MayHaveRun = E->MayHaveRun || Refusal.Ran;
+    if (IsVersion && !Refusal.Ran)
+      noteGone(*E, Ended->Server, Refusal, Now);
+    settle(*E, Now, Out);
+  }
+  pump(Now, Out);
+  return Out;
+}
+
+void ReplicaSetQueue::noteGone(Entry &E, const ServerName &Server,
+                               const ServerRefusal &Refusal, TimePoint Now) {
+  for (const VersionRange &Range : Refusal.Served)
+    m_Resources.Versions.noteRefusal(Server, E.Request.Shard, Range, Now);
+  E.Gone.push_back(
+      {.Server = Server, .Shard = E.Request.Shard, .Ranges = Refusal.Served});
+}
+
+QueueActions ReplicaSetQueue::onLost(AttemptId Id, TimePoint Now) {
+  QueueActions Out;
+  std::optional<Attempt> Ended = endAttempt(Id);
+  if (!Ended)
+    return Out;
+  m_Resources.Scores.noteRefusal(Ended->Server, Now);
+  Entry *E = entryOf(*Ended, Id);
+  if (E != nullptr) {
+    E->Reason = SubReason::ConnectionLost;
+    E->MayHaveRun = true;
+    settle(*E, Now, Out);
+  }
+  pump(Now, Out);
+  return Out;
+}
+
+/// Decides about an entry after one of its attempts ended without an answer.
+void ReplicaSetQueue::settle(Entry &E, TimePoint Now, QueueActions &Out) {
+  disarmHedge(E);
+  if (!E.Live.empty())
+    return;
+  if (!retry(E, Now))
+    complete(E.Request.Id, failedOutcome(E), Out);
+}
+
+bool ReplicaSetQueue::retry(Entry &E, TimePoint Now) {
+  bool IsAllowed = E.Request.Repeatable || !E.MayHaveRun;
+  if (!IsAllowed || E.Request.Deadline <= Now || candidates(E).empty())
+    return false;
+  if (!m_Resources.Budget.trySpend())
+    return false;
+  ++E.PaidExtras;
+  ++m_Counters.Retries;
+  E.Waiting = true;
+  m_Scheduler.push(E.Request.Class, E.Request.Deadline, E.Request.Id);
+  return true;
+}
+
+QueueActions ReplicaSetQueue::cancel(SubrequestId Id, TimePoint Now) {
+  QueueActions Out;
+  auto Found = m_Entries.find(Id);
+  if (Found == m_Entries.end())
+    return Out;
+  Found->second.Reason = SubReason::Cancelled;
+  complete(Id, failedOutcome(Found->second), Out);
+  pump(Now, Out);
+  return Out;
+}
+
+QueueActions ReplicaSetQueue::tick(TimePoint Now) {
+  QueueActions Out;
+  pump(Now, Out);
+  return Out;
+}
+
+QueueActions ReplicaSetQueue::setReplicas(std::vector<ServerName> Replicas,
+                                          TimePoint Now) {
+  m_Options.Replicas = std::move(Replicas);
+  return onServersChanged(Now);
+}
+
+QueueActions ReplicaSetQueue::onServersChanged(TimePoint Now) {
+  QueueActions Out;
+  std::vector<SubrequestId> Unsendable;
+  for (const auto &[Id, E] : m_Entries)
+    if (E.Waiting && candidates(E).empty())
+      Unsendable.push_back(Id);
+  for (SubrequestId Id : Unsendable) {
+    Entry &E = m_Entries.at(Id);
+    E.Reason = SubReason::NoReplica;
+    complete(Id, failedOutcome(E), Out);
+  }
+  pump(Now, Out);
+  return Out;
+}
+
+bool ReplicaSetQueue::hasFreeSlot() const {
+  return std::any_of(m_Options.Replicas.begin(), m_Options.Replicas.end(),
+                     [&](const ServerName &Server) {
+                       return m_Resources.Slots.hasFree(Server);
+                     });
+}
+
+void ReplicaSetQueue::pump(TimePoint Now, QueueActions &Out) {
+  dropExpired(Now, Out);
+  hedgeDue(Now, Out);
+  sendWaiting(Now, Out);
+}
+
+void ReplicaSetQueue::dropExpired(TimePoint Now, QueueActions &Out) {
+  while (!m_Deadlines.empty() && m_Deadlines.begin()->first <= Now) {
+    SubrequestId Id = m_Deadlines.begin()->second;
+    Entry &E = m_Entries.at(Id);
+    if (!E.Live.empty())
+      E.Reason = SubReason::Timeout;
+    complete(Id, failedOutcome(E), Out);
+  }
+}
+
+void ReplicaSetQueue::hedgeDue(TimePoint Now, QueueActions &Out) {
+  while (!m_HedgeTimers.empty() && m_HedgeTimers.begin()->first <= Now) {
+    Entry &E = m_Entries.at(m_HedgeTimers.begin()->second);
+    disarmHedge(E);
+    std::optional<ServerName> Server = chooseFree(E, Now);
+    if (!Server) {
+      armHedge(E, Now + m_Options.MinHedgeDelay);
+      continue;
+    }
+    if (!m_Resources.Budget.trySpend())
+      continue;
+    ++E.PaidExtras;
+    ++m_Counters.Hedges;
+    send(E, *Server, Now, Out);
+  }
+}
+
+void ReplicaSetQueue::sendWaiting(TimePoint Now, QueueActions &Out) {
+  std::optional<ServerName> Server;
+  auto CanSend = [&](SubrequestId Id) {
+    Server = chooseFree(m_Entries.at(Id), Now);
+    return Server.has_value();
+  };
+  while (m_Scheduler.size() > 0 && hasFreeSlot()) {
+    std::optional<SubrequestId> Id = m_Scheduler.popFirst(CanSend);
+    if (!Id)
+      return;
+    Entry &E = m_Entries.at(*Id);
+    E.Waiting = false;
+    if (isHopeless(E, Now)) {
+      E.Reason = SubReason::Overloaded;
+      complete(*Id, failedOutcome(E), Out);
+    } else {
+      send(E, *Server, Now, Out);
+    }
+  }
+}
+
+void ReplicaSetQueue::send(Entry &E, const ServerName &Server, TimePoint Now,
+                           QueueActions &Out) {
+  CARAWAYPOND_INVARIANT(Now < E.Request.Deadline,
+                        "a subrequest was sent past its deadline");
+  CARAWAYPOND_INVARIANT(E.Request.Repeatable ||
+                            (!E.MayHaveRun && E.Live.empty()),
+                        "a subrequest that is not repeatable was sent again");
+  CARAWAYPOND_INVARIANT(E.Sends == E.PaidExtras,
+                        "an extra send without a token for it");
+  m_Resources.Slots.take(Server);
+  if (E.Sends == 0)
+    m_Resources.Budget.countPrimary();
+  ++E.Sends;
+  ++m_Counters.Sends;
+  AttemptId Id = m_Resources.Attempts.next();
+  E.Live.push_back(Id);
+  E.Tried.push_back(Server);
+  m_Attempts.emplace(Id, Attempt{.Request = E.Request.Id,
+                                 .Server = Server,
+                                 .Class = E.Request.Class,
+                                 .SentAt = Now});
+  bool CanHedge = E.Request.Repeatable && E.Live.size() == 1 &&
+                  m_Options.Replicas.size() > 1;
+  if (CanHedge)
+    armHedge(E, Now + hedgeDelay(E, Now));
+  Out.push_back(
+      SendAttempt{.Attempt = Id, .Server = Server, .Request = E.Request});
+}
+
+void ReplicaSetQueue::armHedge(Entry &E, TimePoint At) {
+  E.HedgeAt = At;
+  m_HedgeTimers.emplace(At, E.Request.Id);
+}
+
+void ReplicaSetQueue::disarmHedge(Entry &E) {
+  if (!E.HedgeAt)
+    return;
+  m_HedgeTimers.erase({*E.HedgeAt, E.Request.Id});
+  E.HedgeAt.reset();
+}
+
+/// Takes an entry out and cancels what is still under way for it.
+void ReplicaSetQueue::complete(SubrequestId Id, SubOutcome Outcome,
+                               QueueActions &Out) {
+  auto Found = m_Entries.find(Id);
+  Entry &E = Found->second;
+  CARAWAYPOND_INVARIANT(isMutant(Mutant::DoubtIsNotRun) ||
+                            !std::holds_alternative<SubNotRun>(Outcome) ||
+                            (!E.MayHaveRun && E.Live.empty()),
+                        "\"not run\" for a subrequest that may have run");
+  if (E.Waiting)
+    m_Scheduler.erase(E.Request.Class, E.Request.Deadline, Id);
+  disarmHedge(E);
+  m_Deadlines.erase({E.Request.Deadline, Id});
+  for (AttemptId Live : E.Live)
+    Out.push_back(
+        CancelAttempt{.Attempt = Live, .Server = m_Attempts.at(Live).Server});
+  Out.push_back(CompleteSubrequest{.Id = Id, .Outcome = std::move(Outcome)});
+  m_Entries.erase(Found);
+}
+
+SubOutcome ReplicaSetQueue::failedOutcome(const Entry &E) {
+  bool IsInDoubt = E.MayHaveRun || !E.Live.empty();
+  if (IsInDoubt && !isMutant(Mutant::DoubtIsNotRun))
+    return SubInDoubt{.Reason = E.Reason};
+  if (isAboutVersion(E.Reason))
+    return SubVersionGone{.Served = E.Gone};
+  return SubNotRun{.Reason = E.Reason};
+}
+
+} // namespace carawaypond
