--- /dev/null
+++ b/packages/peer/src/peer/codec/ResultCodec.cpp
@@ -0,0 +1,102 @@
+#include "peer/codec/ResultCodec.h"
+
+#include "peer/codec/Bytes.h"
+
+#include <utility>
+
+namespace carawaypond::peer {
+
+namespace {
+
+/// Fixed part of a result on the wire, pointers and padding included.
+constexpr std::size_t ResultOverheadBytes = 128;
+
+wire::Outcome toWire(PeerOutcome Outcome) {
+  switch (Outcome) {
+  case PeerOutcome::Answered:
+    return wire::Outcome::ANSWERED;
+  case PeerOutcome::NotRun:
+    return wire::Outcome::NOT_RUN;
+  case PeerOutcome::InDoubt:
+    return wire::Outcome::IN_DOUBT;
+  case PeerOutcome::VersionGone:
+    return wire::Outcome::VERSION_GONE;
+  }
+  return wire::Outcome::IN_DOUBT;
+}
+
+PeerOutcome fromWire(wire::Outcome Outcome) {
+  switch (Outcome) {
+  case wire::Outcome::ANSWERED:
+    return PeerOutcome::Answered;
+  case wire::Outcome::NOT_RUN:
+    return PeerOutcome::NotRun;
+  case wire::Outcome::IN_DOUBT:
+    return PeerOutcome::InDoubt;
+  case wire::Outcome::VERSION_GONE:
+    return PeerOutcome::VersionGone;
+  }
+  return PeerOutcome::InDoubt;
+}
+
+void writeRanges(const std::vector<VersionRange> &Ranges,
+                 wire::SubrequestResult::Builder Out) {
+  if (Ranges.empty())
+    return;
+  auto List = Out.initRanges(static_cast<capnp::uint>(Ranges.size()));
+  capnp::uint Next = 0;
+  for (const VersionRange &Range : Ranges) {
+    wire::VersionRange::Builder Item = List[Next++];
+    Item.setLayout(Range.Layout);
+    Item.setOldest(Range.Oldest.value());
+    Item.setNewest(Range.Newest.value());
+  }
+}
+
+} // namespace
+
+void writeResult(const PeerResult &Result,
+                 wire::SubrequestResult::Builder Out) {
+  Out.setId(Result.Id.value());
+  Out.setOutcome(toWire(Result.Outcome));
+  Out.setVersion(Result.Version.value());
+  Out.setLayout(Result.Layout);
+  if (!Result.Payload.empty())
+    Out.setPayload(toData(Result.Payload));
+  if (!Result.Reason.empty())
+    Out.setReason(toText(Result.Reason));
+  writeRanges(Result.Ranges, Out);
+  if (Result.Server)
+    Out.setServer(toText(Result.Server->value()));
+}
+
+PeerResult readResult(wire::SubrequestResult::Reader In) {
+  PeerResult Result{.Id = SubrequestId(In.getId()),
+                    .Outcome = fromWire(In.getOutcome()),
+                    .Version = IndexVersion(In.getVersion()),
+                    .Layout = In.getLayout(),
+                    .Payload = toString(In.getPayload()),
+                    .Reason = toString(In.getReason()),
+                    .Ranges = {},
+                    .Server = std::nullopt};
+  for (wire::VersionRange::Reader Range : In.getRanges())
+    Result.Ranges.push_back({.Layout = Range.getLayout(),
+                             .Oldest = IndexVersion(Range.getOldest()),
+                             .Newest = IndexVersion(Range.getNewest())});
+  std::string Server = toString(In.getServer());
+  if (!Server.empty())
+    Result.Server = ServerName(std::move(Server));
+  return Result;
+}
+
+std::size_t wireBytes(const PeerResult &Result) {
+  std::size_t Bytes = ResultOverheadBytes;
+  Bytes += Result.Payload.size();
+  Bytes += Result.Reason.size();
+  Bytes += Result.Ranges.size() * sizeof(VersionRange);
+  if (Result.Server)
+    Bytes += Result.Server->value().size();
+  return Bytes;
+}
+
+} // namespace carawaypond::peer
--- /dev/null
+++ b/packages/peer/src/peer/fwd.h
@@ -0,0 +1,4 @@
+#pragma once
+
+#include "peer/message/fwd.h"
+#include "peer/node/fwd.h"
--- /dev/null
+++ b/packages/peer/src/peer/link/PeerConnection.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "core/id/Ids.h"
+#include "core/outcome/Result.h"
+#include "peer/loop/LoopContext.h"
+#include "peer/message/PeerIdentity.h"
+#include "peer/message/PeerQuery.h"
+#include "peer/message/PeerQueryAnswer.h"
+#include "peer/message/PeerSubrequest.h"
+#include "peer/message/StoredObject.h"
+#include "peer/schema/Peer.capnp.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace carawaypond::peer {
+
+/// @brief An outgoing connection and the calls that can be made on it. A call
+/// that fails here may have been received: its error is ConnectionLost, or
+/// Unavailable when the peer refused it.
+class PeerConnection {
+public:
+  /// @param Sink Takes the results of all runs on this connection.
+  PeerConnection(LoopContext &Context, kj::Own<kj::AsyncIoStream> Stream,
+                 wire::ResultSink::Client Sink);
+
+  /// @return Bytes that wait in memory to be written.
+  [[nodiscard]] std::size_t queuedBytes();
+  /// @return Settles when the peer is gone.
+  [[nodiscard]] kj::Promise<void> onDisconnect();
+
+  [[nodiscard]] kj::Promise<Result<PeerIdentity>> hello();
+  [[nodiscard]] kj::Promise<Result<std::string>>
+  exchange(const std::string &Digest);
+  [[nodiscard]] kj::Promise<Result<std::vector<StoredObject>>>
+  fetchServices(const std::vector<std::string> &Names);
+  [[nodiscard]] kj::Promise<Result<std::vector<StoredObject>>>
+  fetchIndexes(const std::vector<std::string> &Names);
+  [[nodiscard]] kj::Promise<Result<void>>
+  run(Incarnation Expected, const std::vector<PeerSubrequest> &Batch);
+  [[nodiscard]] kj::Promise<void> cancel(const std::vector<SubrequestId> &Ids);
+  [[nodiscard]] kj::Promise<Result<PeerQueryAnswer>>
+  query(Incarnation Expected, const PeerQuery &Query);
+
+private:
+  using RpcSystem = capnp::RpcSystem<capnp::rpc::twoparty::VatId>;
+
+  [[nodiscard]] wire::Peer::Client bootstrap();
+
+  LoopContext &m_Context;
+  kj::Own<kj::AsyncIoStream> m_Stream;
+  capnp::TwoPartyVatNetwork m_Network;
+  RpcSystem m_Rpc;
+  wire::ResultSink::Client m_Sink;
+  wire::Peer::Client m_Remote;
+};
+
+} // namespace carawaypond::peer
--- /dev/null
+++ b/packages/peer/src/peer/loop/PendingReply.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "peer/loop/TaskQueue.h"
+#include "peer/node/Reply.h"
+
+#include <kj/async.h>
+#include <kj/memory.h>
+
+#include <memory>
+#include <utility>
+
+namespace carawaypond::peer {
+
+/// @brief A Reply for any thread, and the promise that it settles on the node's
+/// thread. The promise fails when the Reply is dropped uncalled.
+template <typename T> struct PendingReply {
+  /// On the heap, since GCC 12 takes a Result within KJ's optionals for
+  /// uninitialised.
+  using OwnedResult = kj::Own<Result<T>>;
+
+  Reply<T> OnReply;
+  kj::Promise<OwnedResult> Outcome;
+
+  /// @param Queue Carries the reply, and the fulfiller's end, to the node's
+  /// thread.
+  [[nodiscard]] static PendingReply make(std::shared_ptr<TaskQueue> Queue) {
+    using Fulfiller = kj::Own<kj::PromiseFulfiller<OwnedResult>>;
+    auto Pair = kj::newPromiseAndFulfiller<OwnedResult>();
+    auto Destroy = [Queue](Fulfiller *Owned) {
+      if (!Queue->post([Owned] { delete Owned; }))
+        delete Owned;
+    };
+    std::shared_ptr<Fulfiller> Shared(new Fulfiller(kj::mv(Pair.fulfiller)),
+                                      Destroy);
+    auto OnReply = [Queue, Shared](Result<T> Outcome) {
+      Queue->post([Shared, Outcome = std::move(Outcome)]() mutable {
+        (*Shared)->fulfill(kj::heap<Result<T>>(std::move(Outcome)));
+      });
+    };
+    return {.OnReply = std::move(OnReply), .Outcome = kj::mv(Pair.promise)};
+  }
+};
+
+} // namespace carawaypond::peer
--- /dev/null
+++ b/packages/peer/src/peer/message/PeerSubrequest.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/id/Ids.h"
+#include "core/time/Time.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace carawaypond::peer {
+
+/// @brief One attempt at one shard, sent by a query's coordinator to the VM
+/// that owns a replica.
+struct PeerSubrequest {
+  SubrequestId Id{}; ///< Unique within the sender's incarnation.
+  QueryId Query{};
+  ServiceName Service{};
+  ClassName Class{};
+  ShardId Shard{};
+  IndexVersion Version{};
+  std::uint64_t Layout = 0;
+  WallMillis Deadline{};
+  bool Repeatable = true;
+  /// The request's JSON text, never null. Subrequests of one batch that share
+  /// the pointer share the bytes on the wire.
+  std::shared_ptr<const std::string> Request{};
+  std::optional<ServerName> Server{}; ///< Unset: the owner chooses the replica.
+};
+
+} // namespace carawaypond::peer
--- /dev/null
+++ b/packages/peer/src/peer/node/PeerHandlers.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/id/Ids.h"
+#include "peer/message/PeerIdentity.h"
+#include "peer/message/PeerQuery.h"
+#include "peer/message/PeerQueryAnswer.h"
+#include "peer/message/PeerResult.h"
+#include "peer/message/PeerSubrequest.h"
+#include "peer/message/StoredObject.h"
+#include "peer/node/Reply.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace carawaypond::peer {
+
+/// @brief Sends a result to the coordinator; may be called from any thread, and
+/// does nothing once the connection is gone.
+using ResultSink = std::function<void(PeerResult)>;
+
+/// @brief How the daemon serves other daemons' calls. Every handler runs on the
+/// node's thread, must not block, and may be left empty: its calls are refused.
+struct PeerHandlers {
+  using Names = std::vector<std::string>;
+
+  /// Takes a peer's encoded digest and answers with this VM's.
+  std::function<std::string(const PeerIdentity &, const std::string &)>
+      OnExchange;
+  /// Answers the named objects that it knows; no names ask for all.
+  std::function<void(Names, Reply<std::vector<StoredObject>>)> OnFetchServices;
+  std::function<void(Names, Reply<std::vector<StoredObject>>)> OnFetchIndexes;
+  /// Takes over the subrequests and gives the sink one result for each.
+  std::function<void(const PeerIdentity &, std::vector<PeerSubrequest>,
+                     ResultSink)>
+      OnRun;
+  /// The coordinator no longer wants these, or its connection is gone.
+  std::function<void(const PeerIdentity &, const std::vector<SubrequestId> &)>
+      OnCancel;
+  /// An error in place of an answer leaves the query in doubt.
+  std::function<void(const PeerIdentity &, PeerQuery, Reply<PeerQueryAnswer>)>
+      OnQuery;
+};
+
+} // namespace carawaypond::peer
--- /dev/null
+++ b/packages/peer/src/peer/node/PeerNode.cpp
@@ -0,0 +1,159 @@
+#include "peer/node/PeerNode.h"
+
+#include "core/invariant/Invariant.h"
+#include "peer/loop/NodeLoop.h"
+#include "peer/loop/PeerCounters.h"
+#include "peer/loop/TaskQueue.h"
+
+#include <kj/exception.h>
+
+#include <future>
+#include <thread>
+#include <utility>
+
+namespace carawaypond::peer {
+
+namespace {
+
+/// Keeps KJ from writing to standard error: the node's counters tell.
+class SilentLog final : public kj::ExceptionCallback {
+public:
+  void logMessage(kj::LogSeverity, const char *, int, int,
+                  kj::String &&) override {}
+};
+
+} // namespace
+
+class PeerNode::Impl {
+public:
+  Impl(PeerOptions Options, PeerHandlers Handlers)
+      : m_Options(std::move(Options)), m_Handlers(std::move(Handlers)) {}
+  ~Impl() { stop(); }
+  Impl(const Impl &) = delete;
+  Impl &operator=(const Impl &) = delete;
+
+  [[nodiscard]] const std::string &address() const { return m_Address; }
+  [[nodiscard]] PeerStats stats() const { return m_Counters.snapshot(); }
+
+  Result<void> start() {
+    std::promise<Result<std::string>> Started;
+    std::future<Result<std::string>> Address = Started.get_future();
+    m_Thread = std::thread([this, &Started] { serve(Started); });
+    Result<std::string> Listening = Address.get();
+    if (!Listening)
+      return Listening.error();
+    m_Address = std::move(Listening.value());
+    return success();
+  }
+
+  /// Runs @p Call with the link to @p Address on the node's thread.
+  template <typename Call> void onLink(std::string Address, Call Next) {
+    bool Posted = m_Queue->post(
+        [this, Address = std::move(Address), Next = std::move(Next)]() mutable {
+          Next(m_Loop->links().to(Address));
+        });
+    CARAWAYPOND_INVARIANT(Posted, "a call was made on a stopped node");
+  }
+
+private:
+  void serve(std::promise<Result<std::string>> &Started) {
+    SilentLog Log;
+    NodeLoop Loop(m_Options, m_Handlers, m_Counters, m_Queue);
+    m_Loop = &Loop;
+    Result<std::string> Address = Loop.listen();
+    bool Listening = Address.has_value();
+    Started.set_value(std::move(Address));
+    if (Listening)
+      Loop.run();
+  }
+
+  void stop() {
+    if (!m_Thread.joinable())
+      return;
+    m_Queue->post([this] { m_Loop->stop(); });
+    m_Thread.join();
+  }
+
+  const PeerOptions m_Options;
+  const PeerHandlers m_Handlers;
+  PeerCounters m_Counters;
+  std::shared_ptr<TaskQueue> m_Queue = std::make_shared<TaskQueue>();
+  NodeLoop *m_Loop = nullptr;
+  std::string m_Address;
+  std::thread m_Thread;
+};
+
+Result<std::unique_ptr<PeerNode>> PeerNode::open(PeerOptions Options,
+                                                 PeerHandlers Handlers) {
+  auto Pimpl = std::make_unique<Impl>(std::move(Options), std::move(Handlers));
+  if (Result<void> Started = Pimpl->start(); !Started)
+    return Started.error();
+  return std::unique_ptr<PeerNode>(new PeerNode(std::move(Pimpl)));
+}
+
+PeerNode::PeerNode(std::unique_ptr<Impl> Pimpl) : m_Impl(std::move(Pimpl)) {}
+
+PeerNode::~PeerNode() = default;
+
+const std::string &PeerNode::address() const { return m_Impl->address(); }
+
+PeerStats PeerNode::stats() const { return m_Impl->stats(); }
+
+void PeerNode::exchange(std::string Address, std::string Digest,
+                        Reply<std::string> OnReply, Duration Timeout) {
+  m_Impl->onLink(std::move(Address),
+                 [Digest = std::move(Digest), OnReply = std::move(OnReply),
+                  Timeout](PeerLink &Link) mutable {
+                   Link.exchange(std::move(Digest), std::move(OnReply),
+                                 Timeout);
+                 });
+}
+
+void PeerNode::fetchServices(std::string Address,
+                             std::vector<std::string> Names,
+                             Reply<std::vector<StoredObject>> OnReply,
+                             Duration Timeout) {
+  m_Impl->onLink(std::move(Address),
+                 [Names = std::move(Names), OnReply = std::move(OnReply),
+                  Timeout](PeerLink &Link) mutable {
+                   Link.fetch(PeerLink::ObjectKind::Service, std::move(Names),
+                              std::move(OnReply), Timeout);
+                 });
+}
+
+void PeerNode::fetchIndexes(std::string Address, std::vector<std::string> Names,
+                            Reply<std::vector<StoredObject>> OnReply,
+                            Duration Timeout) {
+  m_Impl->onLink(std::move(Address),
+                 [Names = std::move(Names), OnReply = std::move(OnReply),
+                  Timeout](PeerLink &Link) mutable {
+                   Link.fetch(PeerLink::ObjectKind::Index, std::move(Names),
+                              std::move(OnReply), Timeout);
+                 });
+}
+
+void PeerNode::run(std::string Address, Incarnation Expected,
+                   std::vector<PeerSubrequest> Batch, RunObserver Observer) {
+  m_Impl->onLink(std::move(Address),
+                 [Expected, Batch = std::move(Batch),
+                  Observer = std::move(Observer)](PeerLink &Link) mutable {
+                   Link.run(Expected, std::move(Batch), std::move(Observer));
+                 });
+}
+
+void PeerNode::cancel(std::string Address, std::vector<SubrequestId> Ids) {
+  m_Impl->onLink(std::move(Address), [Ids = std::move(Ids)](PeerLink &Link) {
+    Link.cancel(Ids);
+  });
+}
+
+void PeerNode::query(std::string Address, Incarnation Expected, PeerQuery Query,
+                     Reply<PeerQueryAnswer> OnReply, Duration Timeout) {
+  m_Impl->onLink(std::move(Address), [Expected, Query = std::move(Query),
+                                      OnReply = std::move(OnReply),
+                                      Timeout](PeerLink &Link) mutable {
+    Link.query(Expected, std::move(Query), std::move(OnReply), Timeout);
+  });
+}
+
+} // namespace carawaypond::peer
--- /dev/null
+++ b/packages/peer/src/peer/session/PeerServer.cpp
@@ -0,0 +1,200 @@
+#include "peer/session/PeerServer.h"
+
+#include "peer/codec/Bytes.h"
+#include "peer/codec/ObjectCodec.h"
+#include "peer/codec/SubrequestCodec.h"
+#include "peer/loop/PendingReply.h"
+#include "peer/session/SessionTable.h"
+
+#include <kj/debug.h>
+
+#include <utility>
+
+namespace carawaypond::peer {
+
+class PeerServer::OpenCall {
+public:
+  explicit OpenCall(PeerServer &Server) : m_Server(Server) {
+    ++m_Server.m_OpenCalls;
+  }
+  ~OpenCall() { --m_Server.m_OpenCalls; }
+  OpenCall(const OpenCall &) = delete;
+  OpenCall &operator=(const OpenCall &) = delete;
+
+private:
+  PeerServer &m_Server;
+};
+
+PeerServer::PeerServer(LoopContext &Context, SessionTable &Table,
+                       PeerSession &Session)
+    : m_Context(Context), m_Table(Table), m_Session(Session) {}
+
+kj::Promise<void> PeerServer::hello(HelloContext Context) {
+  KJ_REQUIRE(!m_Session.peer().has_value(), "a connection says hello once");
+  auto Params = Context.getParams();
+  wire::Identity::Reader From = Params.getSelf();
+  PeerIdentity Peer{.Vm = VmName(toString(From.getVm())),
+                    .Life = Incarnation(From.getIncarnation())};
+  bool Admitted = m_Table.admit(Peer);
+  if (Admitted) {
+    ++m_Context.Counters.InboundAccepted;
+    m_Session.introduce(std::move(Peer), Params.getSink());
+  } else {
+    ++m_Context.Counters.StaleIncarnations;
+  }
+  auto Answer = Context.getResults();
+  Answer.setAccepted(Admitted);
+  wire::Identity::Builder Self = Answer.initSelf();
+  Self.setVm(toText(m_Context.Options.Self.Vm.value()));
+  Self.setIncarnation(m_Context.Options.Self.Life.value());
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerServer::exchange(ExchangeContext Context) {
+  const PeerIdentity &From = caller();
+  KJ_REQUIRE(bool(m_Context.Handlers.OnExchange), "no digests are exchanged here");
+  std::string Digest = toString(Context.getParams().getDigest());
+  std::string Answer = m_Context.Handlers.OnExchange(From, Digest);
+  Context.getResults().setDigest(toData(Answer));
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerServer::fetchServices(FetchServicesContext Context) {
+  return fetch(m_Context.Handlers.OnFetchServices, Context);
+}
+
+kj::Promise<void> PeerServer::fetchIndexes(FetchIndexesContext Context) {
+  return fetch(m_Context.Handlers.OnFetchIndexes, Context);
+}
+
+kj::Promise<void> PeerServer::run(RunContext Context) {
+  const PeerIdentity &From = caller();
+  auto Params = Context.getParams();
+  auto Batch = readBatch(Params.getBatch());
+  Result<void> Acceptable = checkBatch(Params.getExpected(), Batch);
+  auto Answer = Context.getResults();
+  Answer.setAccepted(Acceptable.has_value());
+  if (!Acceptable) {
+    Answer.setReason(toText(Acceptable.error().Message));
+    return kj::READY_NOW;
+  }
+  ResultSink Sink = [Queue = m_Context.Queue, &Table = m_Table,
+                     Number = m_Session.number()](PeerResult Result) {
+    Queue->post([&Table, Number, Result = std::move(Result)]() mutable {
+      Table.deliver(Number, std::move(Result));
+    });
+  };
+  m_Context.Handlers.OnRun(From, std::move(Batch.value()), std::move(Sink));
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerServer::cancel(CancelContext Context) {
+  const PeerIdentity &From = caller();
+  std::vector<SubrequestId> Ids;
+  for (std::uint64_t Id : Context.getParams().getIds())
+    Ids.emplace_back(Id);
+  if (m_Context.Handlers.OnCancel)
+    m_Context.Handlers.OnCancel(From, Ids);
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerServer::query(QueryContext Context) {
+  requireHello();
+  Result<void> Acceptable = checkExpected(Context.getParams().getExpected());
+  if (Acceptable && !m_Context.Handlers.OnQuery)
+    Acceptable = failure(ErrorCode::Unavailable, "no queries are taken here");
+  if (Acceptable && m_OpenCalls >= m_Context.Options.MaxOutstandingCalls) {
+    ++m_Context.Counters.CallsRefused;
+    Acceptable = failure(ErrorCode::Unavailable, "too many calls are open");
+  }
+  if (Acceptable)
+    return startQuery(Context);
+  auto Answer = Context.getResults();
+  Answer.setAccepted(false);
+  Answer.setReason(toText(Acceptable.error().Message));
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerServer::startQuery(QueryContext Context) {
+  auto Params = Context.getParams();
+  PeerQuery Query{.Ticket = toString(Params.getTicket()),
+                  .Deadline = WallMillis{Params.getDeadlineMillis()},
+                  .Body = toString(Params.getBody())};
+  auto Pending = PendingReply<PeerQueryAnswer>::make(m_Context.Queue);
+  m_Context.Handlers.OnQuery(caller(), std::move(Query),
+                             std::move(Pending.OnReply));
+  return Pending.Outcome
+      .then([Context](kj::Own<Result<PeerQueryAnswer>> Outcome) mutable {
+        KJ_REQUIRE(Outcome->has_value(), "the query is in doubt",
+                   Outcome->error().Message);
+        const PeerQueryAnswer &Given = Outcome->value();
+        auto Answer = Context.getResults();
+        Answer.setAccepted(true);
+        Answer.setStatus(Given.Status);
+        Answer.setBody(toData(Given.Body));
+      })
+      .attach(kj::heap<OpenCall>(*this));
+}
+
+void PeerServer::requireHello() const {
+  KJ_REQUIRE(m_Session.peer().has_value(), "a connection starts with hello");
+}
+
+const PeerIdentity &PeerServer::caller() const {
+  requireHello();
+  return *m_Session.peer();
+}
+
+Result<void> PeerServer::checkExpected(std::uint64_t Expected) {
+  const Incarnation &Self = m_Context.Options.Self.Life;
+  if (Self.value() == Expected)
+    return success();
+  ++m_Context.Counters.StaleIncarnations;
+  return failure(ErrorCode::Unavailable,
+                 "this is incarnation " + std::to_string(Self.value()) +
+                     ", not " + std::to_string(Expected));
+}
+
+Result<void>
+PeerServer::checkBatch(std::uint64_t Expected,
+                       const Result<std::vector<PeerSubrequest>> &Batch) {
+  if (Result<void> Match = checkExpected(Expected); !Match)
+    return Match;
+  if (!Batch)
+    return Batch.error();
+  if (!m_Context.Handlers.OnRun)
+    return failure(ErrorCode::Unavailable, "no subrequests are taken here");
+  if (!m_Session.hasRoomFor(Batch.value().size())) {
+    ++m_Context.Counters.CallsRefused;
+    return failure(ErrorCode::Unavailable, "too many subrequests are open");
+  }
+  if (!m_Session.accept(Batch.value()))
+    return failure(ErrorCode::Conflict, "a subrequest id is already in use");
+  return success();
+}
+
+template <typename Handler, typename FetchContext>
+kj::Promise<void> PeerServer::fetch(const Handler &OnFetch,
+                                    FetchContext Context) {
+  requireHello();
+  KJ_REQUIRE(bool(OnFetch), "no objects are served here");
+  KJ_REQUIRE(m_OpenCalls < m_Context.Options.MaxOutstandingCalls,
+             "too many calls are open");
+  auto Pending = PendingReply<std::vector<StoredObject>>::make(m_Context.Queue);
+  OnFetch(readNames(Context.getParams().getNames()),
+          std::move(Pending.OnReply));
+  return Pending.Outcome
+      .then([Context, MaxBytes = m_Context.Options.MaxMessageBytes](
+                kj::Own<Result<std::vector<StoredObject>>> Outcome) mutable {
+        KJ_REQUIRE(Outcome->has_value(), "the objects can't be had",
+                   Outcome->error().Message);
+        const std::vector<StoredObject> &Objects = Outcome->value();
+        std::size_t Count = countThatFit(Objects, MaxBytes);
+        auto Answer = Context.getResults();
+        writeObjects(Objects,
+                     Answer.initObjects(static_cast<capnp::uint>(Count)));
+      })
+      .attach(kj::heap<OpenCall>(*this));
+}
+
+} // namespace carawaypond::peer
--- /dev/null
+++ b/packages/peer/test/peer/node/NodeFixture.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "Mailbox.h"
+#include "peer/peer.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace carawaypond::peer {
+
+constexpr Duration Generous = std::chrono::seconds(30);
+constexpr Duration Short = Milliseconds(300);
+constexpr std::int64_t FarDeadlineMillis = 60'000;
+
+/// @brief A run that a node took over, with the sink for its results.
+struct TakenRun {
+  PeerIdentity From;
+  std::vector<PeerSubrequest> Batch;
+  ResultSink Sink;
+};
+
+/// @brief How one or more subrequests of a run were lost.
+struct Loss {
+  Error Reason;
+  std::vector<SubrequestId> Ids;
+};
+
+/// @brief A node whose handlers fill mailboxes.
+struct TestNode {
+  Mailbox<TakenRun> Runs;
+  Mailbox<std::vector<SubrequestId>> Cancels;
+  Mailbox<std::pair<PeerQuery, Reply<PeerQueryAnswer>>> Queries;
+  std::unique_ptr<PeerNode> Node;
+
+  explicit TestNode(const std::string &Name, std::uint64_t Life = 1,
+                    PeerOptions Options = {}) {
+    Options.Self = {.Vm = VmName(Name), .Life = Incarnation(Life)};
+    if (Options.ListenAddress.empty())
+      Options.ListenAddress = "127.0.0.1:0";
+    Node = std::move(PeerNode::open(Options, handlers()).value());
+  }
+  ~TestNode() { Node.reset(); }
+
+  [[nodiscard]] std::string address() const { return Node->address(); }
+
+private:
+  PeerHandlers handlers() {
+    PeerHandlers Handlers;
+    Handlers.OnExchange = [](const PeerIdentity &From, const std::string &In) {
+      return From.Vm.value() + ":" + In;
+    };
+    Handlers.OnFetchServices = [](PeerHandlers::Names Names, auto OnReply) {
+      std::vector<StoredObject> Objects;
+      for (const std::string &Name : Names)
+        Objects.push_back({.Name = Name, .Version = 7, .Json = "{}"});
+      OnReply(std::move(Objects));
+    };
+    Handlers.OnRun = [this](const PeerIdentity &From, auto Batch, auto Sink) {
+      Runs.put({.From = From,
+                .Batch = std::move(Batch),
+                .Sink = std::move(Sink)});
+    };
+    Handlers.OnCancel = [this](const PeerIdentity &, const auto &Ids) {
+      Cancels.put(Ids);
+    };
+    Handlers.OnQuery = [this](const PeerIdentity &, PeerQuery Query,
+                              auto OnReply) {
+      Queries.put({std::move(Query), std::move(OnReply)});
+    };
+    return Handlers;
+  }
+};
+
+/// @brief The coordinator's side of runs.
+struct Observed {
+  Mailbox<PeerResult> Results;
+  Mailbox<Loss> Losses;
+
+  RunObserver observer() {
+    return {.OnResult =
+                [this](PeerResult Result) { Results.put(std::move(Result)); },
+            .OnLost = [this](const Error &Reason, const auto &Ids) {
+              Losses.put({.Reason = Reason, .Ids = Ids});
+            }};
+  }
+};
+
+inline std::vector<PeerSubrequest>
+makeBatch(std::uint64_t FirstId, std::size_t Count,
+          std::int64_t InMillis = FarDeadlineMillis) {
+  auto Request = std::make_shared<const std::string>(R"({"match": "x"})");
+  std::vector<PeerSubrequest> Batch;
+  for (std::size_t I = 0; I < Count; ++I)
+    Batch.push_back({.Id = SubrequestId(FirstId + I),
+                     .Query = QueryId(1),
+                     .Service = ServiceName("claims"),
+                     .Class = ClassName("interactive"),
+                     .Shard = ShardId(static_cast<std::uint32_t>(I)),
+                     .Version = IndexVersion(41),
+                     .Layout = 1,
+                     .Deadline = {wallNow().Value + InMillis},
+                     .Repeatable = true,
+                     .Request = Request,
+                     .Server = std::nullopt});
+  return Batch;
+}
+
+inline PeerResult answerTo(const PeerSubrequest &Subrequest) {
+  return {.Id = Subrequest.Id,
+          .Outcome = PeerOutcome::Answered,
+          .Version = Subrequest.Version,
+          .Layout = Subrequest.Layout,
+          .Payload = "{\"records\": []}",
+          .Reason = "",
+          .Ranges = {},
+          .Server = ServerName("s-1")};
+}
+
+} // namespace carawaypond::peer
--- /dev/null
+++ b/packages/peer/test/peer/node/PeerCallTest.cpp
@@ -0,0 +1,204 @@
+#include "NodeFixture.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <random>
+
+using namespace carawaypond;
+using namespace carawaypond::peer;
+using boost::asio::ip::tcp;
+
+namespace {
+
+tcp::endpoint endpointOf(const std::string &Address) {
+  auto Colon = Address.rfind(':');
+  return {boost::asio::ip::make_address(Address.substr(0, Colon)),
+          static_cast<std::uint16_t>(std::stoi(Address.substr(Colon + 1)))};
+}
+
+std::string randomBytes(std::mt19937 &Random, std::size_t Count) {
+  std::string Bytes(Count, '\0');
+  for (char &Byte : Bytes)
+    Byte = static_cast<char>(Random());
+  return Bytes;
+}
+
+/// Sends bytes and waits until the node closes the connection.
+void sendUntilClosed(const std::string &Address, const std::string &Bytes) {
+  boost::asio::io_context Io;
+  tcp::socket Socket(Io);
+  Socket.connect(endpointOf(Address));
+  boost::system::error_code Ignored;
+  boost::asio::write(Socket, boost::asio::buffer(Bytes), Ignored);
+  std::string Sink(4096, '\0');
+  boost::system::error_code Code;
+  while (!Code)
+    Socket.read_some(boost::asio::buffer(Sink), Code);
+}
+
+template <typename T> auto into(Mailbox<Result<T>> &Box) {
+  return [&Box](Result<T> Outcome) { Box.put(std::move(Outcome)); };
+}
+
+/// Accepts connections and never answers.
+class SilentServer {
+public:
+  [[nodiscard]] std::string address() const {
+    return "127.0.0.1:" + std::to_string(m_Acceptor.local_endpoint().port());
+  }
+
+private:
+  boost::asio::io_context m_Io;
+  tcp::acceptor m_Acceptor{
+      m_Io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
+};
+
+} // namespace
+
+TEST_CASE("digests are exchanged with the sender's name") {
+  TestNode Server("vm-2");
+  TestNode Client("vm-1");
+  Mailbox<Result<std::string>> Replies;
+  Client.Node->exchange(Server.address(), "digest", into(Replies), Generous);
+  CHECK(Replies.take().value() == "vm-1:digest");
+}
+
+TEST_CASE("objects are fetched by name") {
+  TestNode Server("vm-2");
+  TestNode Client("vm-1");
+  Mailbox<Result<std::vector<StoredObject>>> Replies;
+  Client.Node->fetchServices(Server.address(), {"a", "b"}, into(Replies),
+                             Generous);
+  auto Objects = Replies.take().value();
+  REQUIRE(Objects.size() == 2);
+  CHECK(Objects[1] == StoredObject{.Name = "b", .Version = 7, .Json = "{}"});
+}
+
+TEST_CASE("a call without a handler fails") {
+  TestNode Server("vm-2");
+  TestNode Client("vm-1");
+  Mailbox<Result<std::vector<StoredObject>>> Replies;
+  Client.Node->fetchIndexes(Server.address(), {"a"}, into(Replies), Generous);
+  CHECK(!Replies.take());
+}
+
+TEST_CASE("a forwarded query is answered from another thread") {
+  TestNode Server("vm-2", 4);
+  TestNode Client("vm-1");
+  Mailbox<Result<PeerQueryAnswer>> Replies;
+  PeerQuery Query{.Ticket = "vm-2.4.1", .Deadline = wallNow(), .Body = "{}"};
+  Client.Node->query(Server.address(), Incarnation(4), Query, into(Replies),
+                     Generous);
+  auto [Taken, OnReply] = Server.Queries.take();
+  CHECK(Taken.Ticket == "vm-2.4.1");
+  OnReply(PeerQueryAnswer{.Status = 200, .Body = "done"});
+  PeerQueryAnswer Answer = Replies.take().value();
+  CHECK(Answer.Status == 200);
+  CHECK(Answer.Body == "done");
+}
+
+TEST_CASE("a query that its VM never answers is in doubt") {
+  auto Server = std::make_unique<TestNode>("vm-2");
+  TestNode Client("vm-1");
+  Mailbox<Result<PeerQueryAnswer>> Replies;
+  Client.Node->query(Server->address(), Incarnation(1), {}, into(Replies),
+                     Short);
+  Server->Queries.take();
+  CHECK(Replies.take().error().Code == ErrorCode::TimedOut);
+
+  Client.Node->query(Server->address(), Incarnation(1), {}, into(Replies),
+                     Generous);
+  auto Held = Server->Queries.take();
+  Server.reset();
+  CHECK(Replies.take().error().Code == ErrorCode::ConnectionLost);
+}
+
+TEST_CASE("a query for a former incarnation is not sent") {
+  TestNode Server("vm-2", 4);
+  TestNode Client("vm-1");
+  Mailbox<Result<PeerQueryAnswer>> Replies;
+  Client.Node->query(Server.address(), Incarnation(3), {}, into(Replies),
+                     Generous);
+  CHECK(Replies.take().error().Code == ErrorCode::NotConnected);
+}
+
+TEST_CASE("a reply may be dropped uncalled") {
+  TestNode Server("vm-2");
+  TestNode Client("vm-1");
+  Mailbox<Result<PeerQueryAnswer>> Replies;
+  Client.Node->query(Server.address(), Incarnation(1), {}, into(Replies),
+                     Generous);
+  Server.Queries.take();
+  CHECK(!Replies.take());
+}
+
+TEST_CASE("a silent peer is not connected and holds up no other") {
+  SilentServer Silent;
+  PeerOptions Options;
+  Options.ConnectTimeout = Short;
+  TestNode Client("vm-1", 1, Options);
+  TestNode Server("vm-2");
+  Mailbox<Result<std::string>> FromSilent;
+  Mailbox<Result<std::string>> Replies;
+  Client.Node->exchange(Silent.address(), "a", into(FromSilent), Generous);
+  Client.Node->exchange(Server.address(), "b", into(Replies), Generous);
+  CHECK(Replies.take().value() == "vm-1:b");
+  CHECK(FromSilent.take().error().Code == ErrorCode::NotConnected);
+}
+
+TEST_CASE("a link connects again once its backoff is over") {
+  PeerOptions Options;
+  Options.ListenAddress = TestNode("vm-2").address();
+  TestNode Client("vm-1");
+  Mailbox<Result<std::string>> Replies;
+  Client.Node->exchange(Options.ListenAddress, "a", into(Replies), Generous);
+  CHECK(Replies.take().error().Code == ErrorCode::NotConnected);
+
+  TestNode Server("vm-2", 2, Options);
+  TimePoint GiveUp = monotonicNow() + Generous;
+  bool Answered = false;
+  while (!Answered && monotonicNow() < GiveUp) {
+    Client.Node->exchange(Options.ListenAddress, "b", into(Replies), Generous);
+    Answered = Replies.take().has_value();
+  }
+  CHECK(Answered);
+}
+
+TEST_CASE("garbage ends only its own connection") {
+  PeerOptions Options;
+  Options.HelloTimeout = Short;
+  TestNode Server("vm-2", 1, Options);
+  TestNode Client("vm-1");
+  constexpr std::uint64_t Tries = 8;
+  std::mt19937 Random(1);
+  for (std::uint64_t Try = 0; Try < Tries; ++Try)
+    sendUntilClosed(Server.address(), randomBytes(Random, 1 + 97 * Try));
+  CHECK(Server.Node->stats().InboundRejected == Tries);
+  Mailbox<Result<std::string>> Replies;
+  Client.Node->exchange(Server.address(), "a", into(Replies), Generous);
+  CHECK(Replies.take().has_value());
+}
+
+TEST_CASE("only numeric addresses are taken") {
+  PeerOptions Options;
+  Options.ListenAddress = "localhost:0";
+  auto Node = PeerNode::open(Options, {});
+  REQUIRE(!Node);
+  CHECK(Node.error().Code == ErrorCode::InvalidInput);
+
+  TestNode Client("vm-1");
+  Mailbox<Result<std::string>> Replies;
+  Client.Node->exchange("localhost:1", "a", into(Replies), Generous);
+  CHECK(Replies.take().error().Code == ErrorCode::InvalidInput);
+}
+
+TEST_CASE("an address in use is reported") {
+  TestNode Server("vm-2");
+  PeerOptions Options;
+  Options.ListenAddress = Server.address();
+  CHECK(!PeerNode::open(Options, {}));
+}
