--- a/packages/daemon/src/daemon/traffic/OwnedQueue.h
+++ b/packages/daemon/src/daemon/traffic/OwnedQueue.h
@@ -31,6 +31,7 @@
   std::vector<ServerName> Replicas;
   ReplicaSetQueue Queue;
   boost::asio::steady_timer Timer;
+  QueueCounters Counted; ///< What the metrics have been told so far.
 };
 
 } // namespace carawaypond::daemon
--- a/packages/daemon/src/daemon/traffic/OwnerRunner.cpp
+++ b/packages/daemon/src/daemon/traffic/OwnerRunner.cpp
@@ -206,13 +206,14 @@
 void OwnerRunner::perform(const QueuePointer &Queue, QueueActions Actions) {
   for (QueueAction &Action : Actions)
     std::visit(ActionVisitor{*this, Queue}, Action);
+  countNew(*Queue);
   arm(Queue);
 }
 
 void OwnerRunner::arm(const QueuePointer &Queue) {
   std::optional<TimePoint> Wake = Queue->Queue.nextWake();
   if (!Wake) {
-    Queue->Timer.cancel();
+    Queue->Timer.expires_at(TimePoint::min());
     return;
   }
   if (Queue->Timer.expiry() == *Wake)
@@ -272,25 +273,29 @@
 void OwnerRunner::finishAttempt(const QueuePointer &Queue,
                                 const SendAttempt &Send,
                                 const backend::SearchOutcome &Outcome) {
-  QueueCounters Before = Queue->Queue.counters();
   OutcomeVisitor Report{.Queue = Queue->Queue,
                         .Send = Send,
                         .Board = Queue->Service->pinner().board(),
                         .Now = monotonicNow()};
   perform(Queue, std::visit(Report, Outcome));
-  countQueue(*Queue, Before);
   tickSharing(Send.Server, Queue.get());
 }
 
-void OwnerRunner::countQueue(const OwnedQueue &Queue,
-                             const QueueCounters &Before) {
+void OwnerRunner::countNew(OwnedQueue &Queue) {
   const QueueCounters &Now = Queue.Queue.counters();
+  QueueCounters &Told = Queue.Counted;
   Metrics &Collected = m_Context.Collected;
-  if (Now.Retries > Before.Retries)
-    Collected.count("retries_total", Now.Retries - Before.Retries);
-  if (Now.WrongVersions > Before.WrongVersions)
-    Collected.count("wrong_version_answers_total",
-                    Now.WrongVersions - Before.WrongVersions);
+  auto CountGrowth = [&](std::string_view Name, std::uint64_t Is,
+                         std::uint64_t &Was) {
+    if (Is > Was)
+      Collected.count(Name, Is - Was);
+    Was = Is;
+  };
+  CountGrowth("hedges_total", Now.Hedges, Told.Hedges);
+  CountGrowth("retries_total", Now.Retries, Told.Retries);
+  CountGrowth("wrong_version_answers_total", Now.WrongVersions,
+              Told.WrongVersions);
+  CountGrowth("late_answers_total", Now.LateEvents, Told.LateEvents);
 }
 
 } // namespace carawaypond::daemon
--- a/packages/daemon/src/daemon/traffic/OwnerRunner.h
+++ b/packages/daemon/src/daemon/traffic/OwnerRunner.h
@@ -62,7 +62,7 @@
   boost::asio::awaitable<void> run(QueuePointer Queue, SendAttempt Send);
   void finishAttempt(const QueuePointer &Queue, const SendAttempt &Send,
                      const backend::SearchOutcome &Outcome);
-  void countQueue(const OwnedQueue &Queue, const QueueCounters &Before);
+  void countNew(OwnedQueue &Queue);
   [[nodiscard]] std::string wireId(AttemptId Attempt) const;
 
   TrafficContext &m_Context;
--- /dev/null
+++ b/packages/daemon/src/daemon/traffic/QueryDriver.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "coordination/ownership/RouteTable.h"
+#include "coordination/query/QueryActions.h"
+#include "coordination/query/QueryRun.h"
+#include "daemon/traffic/OwnerRunner.h"
+#include "daemon/traffic/RemoteOwners.h"
+#include "daemon/traffic/ServiceRuntime.h"
+#include "daemon/traffic/TrafficContext.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace carawaypond::daemon {
+
+/// @brief What a QueryDriver works with. All of it outlives the driver.
+struct QueryDriverResources {
+  TrafficContext &Context;
+  OwnerRunner &Owned;
+  RemoteOwners &Remote;
+  std::shared_ptr<ServiceRuntime> Service;
+  std::shared_ptr<const RouteTable> Routes;
+  std::shared_ptr<const ControlView> View;
+};
+
+/// @brief Carries one query out: performs what its QueryRun decides, and feeds
+/// it the outcomes, until it finishes.
+class QueryDriver : public std::enable_shared_from_this<QueryDriver> {
+public:
+  QueryDriver(Query Asked, QueryDriverResources Resources);
+
+  [[nodiscard]] const QueryCounters &counters() const {
+    return m_Run.counters();
+  }
+
+  /// @brief Runs the query; to be called once.
+  boost::asio::awaitable<QueryResult> run();
+
+private:
+  struct ActionVisitor;
+
+  void perform(QueryActions Actions);
+  void sendLocal(Subrequest Request);
+  void flushRemote();
+  void onOutcome(SubrequestId Id, ShardId Shard, SubOutcome Outcome);
+  void onOwnerLost(SubrequestId Id, bool MaySent);
+
+  QueryDriverResources m_Resources;
+  QueryRun m_Run;
+  boost::asio::steady_timer m_Timer;
+  std::optional<QueryResult> m_Result;
+  /// Subrequests decided on in one step, by owner: they travel together.
+  std::map<VmName, std::vector<Subrequest>> m_Outgoing;
+};
+
+} // namespace carawaypond::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/traffic/QueryRunner.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "daemon/traffic/OwnerRunner.h"
+#include "daemon/traffic/QueryRequest.h"
+#include "daemon/traffic/RemoteOwners.h"
+#include "daemon/traffic/ServiceTable.h"
+#include "daemon/traffic/TrafficContext.h"
+#include "http/Response.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <memory>
+
+namespace carawaypond {
+class RouteTable;
+} // namespace carawaypond
+
+namespace carawaypond::daemon {
+
+/// @brief Serves a query from its admission to its answer, and counts it.
+class QueryRunner {
+public:
+  QueryRunner(TrafficContext &Context, ServiceTable &Services,
+              OwnerRunner &Owned, RemoteOwners &Remote);
+
+  /// @brief Follows a new control view.
+  void apply(std::shared_ptr<const ControlView> View);
+
+  /// @brief Runs one query. All refusals before it is sent say "not run".
+  /// @param ArrivedAt When the caller's request was read.
+  boost::asio::awaitable<http::Response> run(QueryRequest Request,
+                                             TimePoint ArrivedAt);
+
+private:
+  boost::asio::awaitable<http::Response>
+  runAdmitted(std::shared_ptr<ServiceRuntime> Service, Query Asked,
+              TimePoint ArrivedAt);
+  void count(const QueryResult &Result, const Query &Asked,
+             TimePoint ArrivedAt);
+
+  TrafficContext &m_Context;
+  ServiceTable &m_Services;
+  OwnerRunner &m_Owned;
+  RemoteOwners &m_Remote;
+  std::shared_ptr<const ControlView> m_View;
+  std::shared_ptr<const RouteTable> m_Routes;
+  std::uint64_t m_LastRequest = 0;
+};
+
+} // namespace carawaypond::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/traffic/RemoteOwners.cpp
@@ -0,0 +1,162 @@
+#include "daemon/traffic/RemoteOwners.h"
+
+#include "daemon/traffic/PeerConversion.h"
+#include "peer/node/PeerNode.h"
+#include "peer/node/RunObserver.h"
+
+#include <boost/asio/post.hpp>
+
+#include <memory>
+#include <tuple>
+
+namespace carawaypond::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// @brief A batch that is out: what its results are for.
+struct SentBatch {
+  std::map<SubrequestId, std::pair<ServiceName, ShardId>> Parts;
+  RemoteObserver Observer;
+};
+
+bool mayHaveBeenSent(const Error &Failure) {
+  return Failure.Code != ErrorCode::NotConnected &&
+         Failure.Code != ErrorCode::Unavailable &&
+         Failure.Code != ErrorCode::TooLarge;
+}
+
+} // namespace
+
+bool RemoteOwners::ForeignLess::operator()(const ForeignKey &Left,
+                                           const ForeignKey &Right) const {
+  return std::tie(Left.first.Vm, Left.first.Life, Left.second) <
+         std::tie(Right.first.Vm, Right.first.Life, Right.second);
+}
+
+RemoteOwners::RemoteOwners(TrafficContext &Context, ServiceTable &Services,
+                           OwnerRunner &Owned)
+    : m_Context(Context), m_Services(Services), m_Owned(Owned) {}
+
+void RemoteOwners::run(const ControlView &View, const VmName &Owner,
+                       std::vector<Subrequest> Batch,
+                       RemoteObserver Observer) {
+  const VmView *Vm = View.findVm(Owner);
+  auto Sent = std::make_shared<SentBatch>();
+  Sent->Observer = std::move(Observer);
+  std::vector<peer::PeerSubrequest> Encoded;
+  TimePoint Now = monotonicNow();
+  WallMillis WallNow = wallNow();
+  for (const Subrequest &Request : Batch) {
+    Sent->Parts.emplace(Request.Id,
+                        std::pair(Request.Service, Request.Shard));
+    Encoded.push_back(toPeer(Request, Now, WallNow));
+  }
+  auto OnLost = [this, Sent](const Error &Failure,
+                             const std::vector<SubrequestId> &Ids) {
+    bool MaySent = mayHaveBeenSent(Failure);
+    asio::post(m_Context.Io, [this, Sent, Ids, MaySent] {
+      m_Context.Collected.count("owner_lost_total", Ids.size());
+      for (SubrequestId Id : Ids)
+        Sent->Observer.OnLost(Id, MaySent);
+    });
+  };
+  if (!Vm || !m_Node) {
+    std::vector<SubrequestId> Ids;
+    for (const auto &[Id, Part] : Sent->Parts)
+      Ids.push_back(Id);
+    OnLost(Error{.Code = ErrorCode::NotConnected,
+                 .Message = "VM \"" + Owner.value() + "\" is not known"},
+           Ids);
+    return;
+  }
+  auto OnResult = [this, Sent](peer::PeerResult Result) {
+    asio::post(m_Context.Io, [this, Sent, Result = std::move(Result)] {
+      auto Part = Sent->Parts.find(Result.Id);
+      if (Part == Sent->Parts.end())
+        return;
+      const auto &[Service, Shard] = Part->second;
+      noteServed(Service, Shard, Result);
+      Sent->Observer.OnOutcome(Result.Id, fromPeer(Result, Shard));
+    });
+  };
+  m_Context.Collected.count("forwarded_batches_total");
+  m_Context.Collected.count("forwarded_subrequests_total", Batch.size());
+  m_Node->run(Vm->PeerAddress, Vm->Life, std::move(Encoded),
+              {.OnResult = OnResult, .OnLost = OnLost});
+}
+
+void RemoteOwners::noteServed(const ServiceName &Service, ShardId Shard,
+                              const peer::PeerResult &Result) {
+  std::shared_ptr<ServiceRuntime> Runtime = m_Services.find(Service);
+  bool IsAnswer = Result.Outcome == peer::PeerOutcome::Answered;
+  if (!Runtime || !Result.Server || !IsAnswer)
+    return;
+  for (const VersionRange &Range : Result.Ranges)
+    Runtime->pinner().board().noteAnswer(*Result.Server, Shard, Range,
+                                         monotonicNow());
+}
+
+void RemoteOwners::cancel(const ControlView &View, const VmName &Owner,
+                          SubrequestId Id) {
+  const VmView *Vm = View.findVm(Owner);
+  if (Vm && m_Node)
+    m_Node->cancel(Vm->PeerAddress, {Id});
+}
+
+void RemoteOwners::serve(const peer::PeerIdentity &From,
+                         std::vector<peer::PeerSubrequest> Batch,
+                         peer::ResultSink Sink) {
+  for (peer::PeerSubrequest &Request : Batch)
+    serveOne(From, std::move(Request), Sink);
+}
+
+void RemoteOwners::serveOne(const peer::PeerIdentity &From,
+                            peer::PeerSubrequest Request,
+                            const peer::ResultSink &Sink) {
+  ForeignKey Key{From, Request.Id};
+  auto [Place, IsNew] = m_Foreign.emplace(Key, m_Context.Ids.next());
+  if (!IsNew)
+    return;
+  Subrequest Local =
+      fromPeer(Request, Place->second, monotonicNow(), wallNow());
+  auto Done = [this, Key, Sink, Asked = Local](SubOutcome Outcome) {
+    m_Foreign.erase(Key);
+    peer::PeerResult Result = toPeer(Key.second, Outcome);
+    if (Result.Outcome == peer::PeerOutcome::Answered)
+      addNewestRange(Asked, Result);
+    Sink(std::move(Result));
+  };
+  m_Owned.enqueue(std::move(Local), std::move(Done));
+}
+
+void RemoteOwners::addNewestRange(const Subrequest &Request,
+                                  peer::PeerResult &Result) const {
+  std::shared_ptr<ServiceRuntime> Runtime = m_Services.find(Request.Service);
+  if (!Runtime)
+    return;
+  const VersionBoard &Board = Runtime->pinner().board();
+  const VersionRange *Newest = nullptr;
+  for (const ServerInfo &Server : Runtime->index().Servers) {
+    const VersionRange *Range =
+        Board.rangeOf(Server.Name, Request.Shard, Request.Layout);
+    if (!Range || (Newest && Range->Newest <= Newest->Newest))
+      continue;
+    Newest = Range;
+    Result.Server = Server.Name;
+  }
+  if (Newest)
+    Result.Ranges = {*Newest};
+}
+
+void RemoteOwners::serveCancel(const peer::PeerIdentity &From,
+                               const std::vector<SubrequestId> &Ids) {
+  for (SubrequestId Id : Ids) {
+    auto Found = m_Foreign.find({From, Id});
+    if (Found != m_Foreign.end())
+      m_Owned.cancel(Found->second);
+  }
+}
+
+} // namespace carawaypond::daemon
--- a/packages/daemon/src/daemon/traffic/ServiceRuntime.cpp
+++ b/packages/daemon/src/daemon/traffic/ServiceRuntime.cpp
@@ -14,6 +14,18 @@
   return {.Ratio = Config.ExtraLoadRatio, .Burst = Config.ExtraLoadBurst};
 }
 
+std::vector<ClassShare> sharesOf(const ServiceConfig &Config) {
+  std::vector<ClassShare> Shares;
+  for (const CallerClass &Class : Config.Classes)
+    Shares.push_back({.Name = Class.Name, .Share = Class.Share});
+  return Shares;
+}
+
+AdmissionOptions admissionOf(const ServiceConfig &Config) {
+  return {.ConcurrentQueries = Config.Limits.ConcurrentQueries,
+          .Classes = sharesOf(Config)};
+}
+
 IndexObject indexOf(const ServiceView &View) {
   return View.Index ? *View.Index : IndexObject{};
 }
@@ -22,15 +34,13 @@
 
 ServiceRuntime::ServiceRuntime(const ServiceView &View,
                                const PolicySettings &Policy)
-    : m_Stored(View.Stored), m_Pinner(indexOf(View)),
+    : m_Stored(View.Stored), m_Admission(admissionOf(View.Stored->Content)),
+      m_Pinner(indexOf(View)),
       m_CoordinatorBudget(budgetOf(View.Stored->Content, Policy)),
       m_OwnerBudget(budgetOf(View.Stored->Content, Policy)) {}
 
 std::vector<ClassShare> ServiceRuntime::shares() const {
-  std::vector<ClassShare> Shares;
-  for (const CallerClass &Class : config().Classes)
-    Shares.push_back({.Name = Class.Name, .Share = Class.Share});
-  return Shares;
+  return sharesOf(config());
 }
 
 void ServiceRuntime::apply(const ServiceView &View,
@@ -40,6 +50,7 @@
   if (View.Stored == m_Stored)
     return;
   m_Stored = View.Stored;
+  m_Admission.reconfigure(admissionOf(config()));
   m_CoordinatorBudget.reconfigure(budgetOf(config(), Policy));
   m_OwnerBudget.reconfigure(budgetOf(config(), Policy));
 }
--- a/packages/daemon/src/daemon/traffic/ServiceRuntime.h
+++ b/packages/daemon/src/daemon/traffic/ServiceRuntime.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/admission/AdmissionControl.h"
 #include "coordination/budget/ExtraLoadBudget.h"
 #include "coordination/latency/LatencyTracker.h"
 #include "coordination/queue/ClassScheduler.h"
@@ -12,8 +13,8 @@
 
 namespace carawaypond::daemon {
 
-/// @brief What one traffic thread keeps for one service: its snapshots, its
-/// extra-load budgets and its latencies.
+/// @brief What one traffic thread keeps for one service: its admission,
+/// its snapshots, its extra-load budgets and its latencies.
 class ServiceRuntime {
 public:
   ServiceRuntime(const ServiceView &View, const PolicySettings &Policy);
@@ -22,6 +23,7 @@
     return m_Stored->Content;
   }
   [[nodiscard]] const IndexObject &index() const { return m_Pinner.index(); }
+  [[nodiscard]] AdmissionControl &admission() { return m_Admission; }
   [[nodiscard]] SnapshotPinner &pinner() { return m_Pinner; }
   /// @brief The budget of this VM's queries, as their coordinator.
   [[nodiscard]] ExtraLoadBudget &coordinatorBudget() {
@@ -38,6 +40,7 @@
 
 private:
   std::shared_ptr<const StoredService> m_Stored;
+  AdmissionControl m_Admission;
   SnapshotPinner m_Pinner;
   ExtraLoadBudget m_CoordinatorBudget;
   ExtraLoadBudget m_OwnerBudget;
