http: listener, connection and client over Boost.Beast

Every package that talks to callers, backend servers, the platform or operators needs the same two things: a listener that ends slow or oversized requests with a truthful not_run, and a client whose errors say whether a byte of the request left.

The listener watches idle sockets without reading them, so that a graceful close can see bytes that have arrived; reading ahead was ruled out, as bytes may then sit in a completed read that is not resumed yet.

--- /dev/null
+++ b/packages/http/src/http/Endpoint.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "core/outcome/Result.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace carawaypond::http {
+
+/// @brief Reads "ip:port" or "[ipv6]:port"; names are not resolved.
+[[nodiscard]] Result<boost::asio::ip::tcp::endpoint>
+parseEndpoint(std::string_view Address);
+
+/// @brief Writes @p Endpoint as parseEndpoint() reads it.
+[[nodiscard]] std::string
+formatEndpoint(const boost::asio::ip::tcp::endpoint &Endpoint);
+
+} // namespace carawaypond::http
--- /dev/null
+++ b/packages/http/src/http/Listener.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "core/outcome/Result.h"
+#include "http/ListenerOptions.h"
+#include "http/ListenerStats.h"
+#include "http/Message.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
+namespace carawaypond::http {
+
+namespace internal {
+class Acceptor;
+} // namespace internal
+
+/// @brief Answers one request. An exception out of it is answered with 500 and
+/// outcome "unknown".
+using Handler = std::function<boost::asio::awaitable<Response>(Request)>;
+
+/// @brief Serves HTTP/1.1 with keep-alive on one address.
+///
+/// The io_context must be run by one thread only, and every member function
+/// must be called on it (or while it does not run). Requests that break a
+/// limit get 400, 408, 413, 431 or 503 with outcome "not_run". What the
+/// handler refers to must outlive the io_context's last handler.
+///
+/// A graceful stop: setDraining(true), wait until callers have moved on,
+/// stopAccepting(), closeIdle(), then wait until stats().Open is 0.
+class Listener {
+public:
+  /// @brief Binds and starts to accept.
+  /// @return The listener; InvalidInput for an address that can't be read,
+  /// Unavailable when it can't be bound.
+  static Result<std::unique_ptr<Listener>>
+  open(boost::asio::io_context &Context, ListenerOptions Options,
+       Handler Handle);
+
+  Listener(const Listener &) = delete;
+  Listener &operator=(const Listener &) = delete;
+  /// @brief Closes everything at once, also requests in flight.
+  ~Listener();
+
+  /// @return "ip:port" with the real port.
+  [[nodiscard]] std::string address() const;
+  [[nodiscard]] ListenerStats stats() const;
+
+  /// @brief Takes the connections that the system has already established,
+  /// then closes the listening socket; existing connections go on.
+  void stopAccepting();
+
+  /// @brief Closes each connection as soon as no request is in flight on it;
+  /// answers carry "Connection: close".
+  ///
+  /// A request of which one byte has arrived, even if still unread in the
+  /// socket, is served. The socket is only watched while idle, never read, so
+  /// there is no moment in which bytes have left the socket and are not seen
+  /// here. A request that crosses the close on the wire is answered by an
+  /// unsolicited 408 with outcome "not_run", which is written before the
+  /// close.
+  void closeIdle();
+
+  /// @brief While draining, each answer carries "Connection: close".
+  void setDraining(bool Draining);
+
+private:
+  explicit Listener(std::shared_ptr<internal::Acceptor> Impl);
+
+  std::shared_ptr<internal::Acceptor> m_Impl;
+};
+
+} // namespace carawaypond::http
--- /dev/null
+++ b/packages/http/src/http/Session.cpp
@@ -0,0 +1,258 @@
+#include "http/Session.h"
+
+#include "http/BeastMessage.h"
+#include "http/Endpoint.h"
+#include "http/ErrorResponse.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+#include <exception>
+#include <optional>
+
+namespace carawaypond::http::internal {
+
+namespace beast_http = boost::beast::http;
+using boost::asio::awaitable;
+using boost::system::error_code;
+
+namespace {
+
+constexpr auto AsTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+/// How far the buffer may grow beyond a request's header.
+constexpr std::size_t ReadAheadBytes = std::size_t{64} << 10;
+/// How long to read on after the last answer, so that a reset caused by late
+/// bytes does not overtake it.
+constexpr Milliseconds LingerTimeout{500};
+constexpr std::size_t DiscardBytes = 4096;
+constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
+
+/// @brief Counts a request as in flight while it lives.
+class InFlightGuard {
+public:
+  explicit InFlightGuard(ListenerStats &Stats) : m_Stats(Stats) {
+    ++m_Stats.InFlight;
+  }
+  InFlightGuard(const InFlightGuard &) = delete;
+  InFlightGuard &operator=(const InFlightGuard &) = delete;
+  ~InFlightGuard() { --m_Stats.InFlight; }
+
+private:
+  ListenerStats &m_Stats;
+};
+
+bool isHeaderTooLarge(error_code Cause) {
+  return Cause == beast_http::error::header_limit ||
+         Cause == beast_http::error::buffer_overflow;
+}
+
+/// @return Whether the peer broke the protocol, rather than the connection.
+bool isProtocolError(error_code Cause) {
+  return Cause.category() ==
+             beast_http::make_error_code(beast_http::error::bad_method)
+                 .category() &&
+         Cause != beast_http::error::end_of_stream &&
+         Cause != beast_http::error::partial_message;
+}
+
+} // namespace
+
+Session::Session(std::shared_ptr<SessionTable> Table,
+                 boost::asio::ip::tcp::socket Socket,
+                 const boost::asio::ip::tcp::endpoint &Remote)
+    : m_Table(std::move(Table)), m_Socket(std::move(Socket)),
+      m_RemoteIp(Remote.address().to_string()),
+      m_RemoteAddress(formatEndpoint(Remote)),
+      m_Buffer(m_Table->options().MaxHeaderBytes + ReadAheadBytes) {
+  m_Table->add(*this);
+}
+
+Session::~Session() { m_Table->remove(*this); }
+
+bool Session::hasUnreadBytes() const {
+  error_code Failed;
+  return m_Socket.available(Failed) > 0 && !Failed;
+}
+
+bool Session::mustClose() const {
+  return m_CloseWhenIdle || m_Table->isDraining();
+}
+
+void Session::waitAtMost(Milliseconds Timeout) {
+  m_Expired = false;
+  m_Due = monotonicNow() + Timeout;
+}
+
+void Session::waitForever() {
+  m_Expired = false;
+  m_Due = TimePoint::max();
+}
+
+void Session::expire(TimePoint Now) {
+  if (Now < m_Due)
+    return;
+  m_Due = TimePoint::max();
+  m_Expired = true;
+  error_code Ignored;
+  m_Socket.cancel(Ignored);
+}
+
+void Session::closeWhenIdle() {
+  m_CloseWhenIdle = true;
+  if (!m_Idle)
+    return;
+  error_code Ignored;
+  m_Socket.cancel(Ignored);
+}
+
+void Session::abort() {
+  error_code Ignored;
+  m_Socket.close(Ignored);
+}
+
+awaitable<void> Session::run() {
+  while (co_await awaitRequest()) {
+    bool KeepAlive = co_await serveRequest();
+    if (!KeepAlive)
+      break;
+  }
+  co_await shutDown();
+}
+
+awaitable<bool> Session::awaitRequest() {
+  if (m_Buffer.size() > 0)
+    co_return true;
+  if (!m_CloseWhenIdle) {
+    m_Idle = true;
+    waitAtMost(m_Table->options().IdleTimeout);
+    co_await m_Socket.async_wait(boost::asio::socket_base::wait_read, AsTuple);
+    m_Idle = false;
+  }
+  if (hasUnreadBytes())
+    co_return true;
+  if (m_Expired || m_CloseWhenIdle)
+    co_await sayGoodbye();
+  co_return false;
+}
+
+awaitable<bool> Session::serveRequest() {
+  InFlightGuard Counted(m_Table->counters());
+  Parser Incoming;
+  Incoming.header_limit(
+      static_cast<std::uint32_t>(m_Table->options().MaxHeaderBytes));
+  Incoming.body_limit(m_Table->options().MaxBodyBytes);
+  error_code Failed = co_await readRequest(Incoming);
+  if (Failed)
+    co_return co_await reject(Failed);
+  bool KeepAlive = Incoming.get().keep_alive();
+  std::optional<Request> Asked = fromBeast(Incoming.release());
+  if (!Asked)
+    co_return co_await reject(beast_http::error::bad_target);
+  Asked->RemoteAddress = m_RemoteAddress;
+  bool IsHead = Asked->Method == "HEAD";
+  waitForever();
+  ++m_Table->counters().Requests;
+  Response Answer = co_await callHandler(std::move(*Asked));
+  co_return co_await write(std::move(Answer), KeepAlive, IsHead);
+}
+
+awaitable<error_code> Session::readRequest(Parser &Into) {
+  waitAtMost(m_Table->options().HeaderTimeout);
+  auto [HeaderFailed, HeaderBytes] =
+      co_await beast_http::async_read_header(m_Socket, m_Buffer, Into, AsTuple);
+  if (HeaderFailed)
+    co_return HeaderFailed;
+  waitAtMost(m_Table->options().BodyTimeout);
+  co_await allowBody(Into);
+  auto [BodyFailed, BodyBytes] =
+      co_await beast_http::async_read(m_Socket, m_Buffer, Into, AsTuple);
+  co_return BodyFailed;
+}
+
+awaitable<void> Session::allowBody(const Parser &Headers) {
+  auto Expected = Headers.get()[beast_http::field::expect];
+  if (!boost::beast::iequals(Expected, "100-continue") || Headers.is_done())
+    co_return;
+  co_await boost::asio::async_write(m_Socket, boost::asio::buffer(ContinueLine),
+                                    AsTuple);
+}
+
+awaitable<bool> Session::reject(error_code Cause) {
+  ListenerStats &Stats = m_Table->counters();
+  Response Answer;
+  if (m_Expired) {
+    ++Stats.TimedOut;
+    Answer = errorResponse(408, "not_run", "timeout",
+                           "the request did not arrive in time");
+  } else if (isHeaderTooLarge(Cause)) {
+    ++Stats.Oversized;
+    Answer = errorResponse(
+        431, "not_run", "header_too_large",
+        "the header must not exceed " +
+            std::to_string(m_Table->options().MaxHeaderBytes) + " bytes");
+  } else if (Cause == beast_http::error::body_limit) {
+    ++Stats.Oversized;
+    Answer = errorResponse(413, "not_run", "body_too_large",
+                           "the body must not exceed " +
+                               std::to_string(m_Table->options().MaxBodyBytes) +
+                               " bytes");
+  } else if (isProtocolError(Cause)) {
+    ++Stats.Malformed;
+    Answer = errorResponse(400, "not_run", "malformed", Cause.message());
+  } else {
+    co_return false;
+  }
+  co_return co_await write(std::move(Answer), false, false);
+}
+
+awaitable<Response> Session::callHandler(Request Asked) {
+  Response Answer;
+  try {
+    Answer = co_await m_Table->handler()(std::move(Asked));
+  } catch (const std::exception &Thrown) {
+    Answer = errorResponse(500, "unknown", "failed", Thrown.what());
+  }
+  co_return Answer;
+}
+
+awaitable<bool> Session::write(Response Answer, bool KeepAlive, bool IsHead) {
+  KeepAlive = KeepAlive && !mustClose();
+  beast_http::response<beast_http::string_body> Outgoing =
+      toBeast(std::move(Answer), KeepAlive);
+  if (IsHead)
+    Outgoing.body().clear();
+  waitAtMost(m_Table->options().WriteTimeout);
+  auto [Failed, Bytes] =
+      co_await beast_http::async_write(m_Socket, Outgoing, AsTuple);
+  if (Failed && m_Expired)
+    ++m_Table->counters().TimedOut;
+  if (Failed)
+    abort();
+  co_return KeepAlive && !Failed;
+}
+
+awaitable<void> Session::sayGoodbye() {
+  Response Answer =
+      errorResponse(408, "not_run", "closing", "the connection was idle");
+  co_await write(std::move(Answer), false, false);
+}
+
+awaitable<void> Session::shutDown() {
+  error_code Failed;
+  m_Socket.shutdown(boost::asio::socket_base::shutdown_send, Failed);
+  waitAtMost(LingerTimeout);
+  std::array<char, DiscardBytes> Discarded;
+  while (!Failed && !m_Expired) {
+    auto [ReadFailed, Bytes] = co_await m_Socket.async_read_some(
+        boost::asio::buffer(Discarded), AsTuple);
+    Failed = ReadFailed;
+  }
+  abort();
+}
+
+} // namespace carawaypond::http::internal
--- /dev/null
+++ b/packages/http/src/http/Session.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "core/time/Time.h"
+#include "http/Message.h"
+#include "http/SessionTable.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <memory>
+#include <string>
+
+namespace carawaypond::http::internal {
+
+/// @brief One accepted connection: reads requests, calls the handler, writes
+/// the answers.
+class Session {
+public:
+  Session(std::shared_ptr<SessionTable> Table,
+          boost::asio::ip::tcp::socket Socket,
+          const boost::asio::ip::tcp::endpoint &Remote);
+  Session(const Session &) = delete;
+  Session &operator=(const Session &) = delete;
+  ~Session();
+
+  [[nodiscard]] const std::string &remoteIp() const { return m_RemoteIp; }
+
+  /// @brief Serves requests until the connection ends.
+  boost::asio::awaitable<void> run();
+  /// @brief Ends the current wait if it was due before @p Now.
+  void expire(TimePoint Now);
+  /// @brief Closes now if idle, else after the request in flight.
+  void closeWhenIdle();
+  /// @brief Closes the socket at once.
+  void abort();
+
+private:
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  [[nodiscard]] bool hasUnreadBytes() const;
+  [[nodiscard]] bool mustClose() const;
+
+  void waitAtMost(Milliseconds Timeout);
+  void waitForever();
+  boost::asio::awaitable<bool> awaitRequest();
+  boost::asio::awaitable<bool> serveRequest();
+  boost::asio::awaitable<boost::system::error_code> readRequest(Parser &Into);
+  boost::asio::awaitable<void> allowBody(const Parser &Headers);
+  boost::asio::awaitable<bool> reject(boost::system::error_code Cause);
+  boost::asio::awaitable<Response> callHandler(Request Asked);
+  boost::asio::awaitable<bool> write(Response Answer, bool KeepAlive,
+                                     bool IsHead);
+  boost::asio::awaitable<void> sayGoodbye();
+  boost::asio::awaitable<void> shutDown();
+
+  std::shared_ptr<SessionTable> m_Table;
+  boost::asio::ip::tcp::socket m_Socket;
+  std::string m_RemoteIp;
+  std::string m_RemoteAddress;
+  boost::beast::flat_buffer m_Buffer;
+  TimePoint m_Due = TimePoint::max(); ///< When the current wait ends.
+  bool m_Expired = false;
+  bool m_Idle = false;
+  bool m_CloseWhenIdle = false;
+};
+
+} // namespace carawaypond::http::internal
--- /dev/null
+++ b/packages/http/src/http/fwd.h
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace carawaypond::http {
+
+class Client;
+class Connection;
+class Listener;
+struct ClientOptions;
+struct ConnectionOptions;
+struct Header;
+struct ListenerOptions;
+struct ListenerStats;
+struct Request;
+struct Response;
+
+} // namespace carawaypond::http
