Membership: who is alive, judged within each data centre

The VM list lags, so VMs must hear each other. A full mesh was ruled out at the size to design for (162 KB/s a node against 26 KB/s allowed): VMs hear their own data centre, 20 peers a tick at most, and representatives exchange digests with other data centres, whose VMs are judged there and only told of here. Records merge by (life, counter, state): any later heartbeat overrules a suspicion, a restart overrules its past, and order does not matter. A VM discounts its own pauses, so that it does not suspect everybody on waking. Recency evidence comes from replies alone, counted from the request's departure.

--- /dev/null
+++ b/packages/coordination/src/coordination/membership/ArrivalHistory.cpp
@@ -0,0 +1,42 @@
+#include "coordination/membership/ArrivalHistory.h"
+
+#include "core/invariant/Invariant.h"
+
+#include <algorithm>
+
+namespace carawaypond {
+
+namespace {
+
+constexpr int Gain = 8;         // an interval counts for an eighth
+constexpr int MeanFactor = 3;   // lost messages in a row that are tolerated
+constexpr int SpreadFactor = 6; // deviations above the mean
+
+Duration smoothed(Duration Old, Duration New) {
+  return Old + (New - Old) / Gain;
+}
+
+} // namespace
+
+Duration ArrivalHistory::timeout(Duration Floor, Duration Ceiling) const {
+  CARAWAYPOND_INVARIANT(Floor <= Ceiling, "suspicion bounds are swapped");
+  return std::clamp(MeanFactor * m_Mean + SpreadFactor * m_Deviation, Floor,
+                    Ceiling);
+}
+
+void ArrivalHistory::record(TimePoint Now) {
+  if (m_Last) {
+    Duration Interval = std::max(Now - *m_Last, Duration(0));
+    Duration Error = Interval > m_Mean ? Interval - m_Mean : m_Mean - Interval;
+    m_Deviation = smoothed(m_Deviation, Error);
+    m_Mean = smoothed(m_Mean, Interval);
+  }
+  m_Last = std::max(m_Last.value_or(Now), Now);
+}
+
+void ArrivalHistory::shift(Duration Pause) {
+  if (m_Last)
+    *m_Last += Pause;
+}
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/membership/CentreTally.cpp
@@ -0,0 +1,95 @@
+#include "coordination/membership/CentreTally.h"
+
+#include "core/invariant/Invariant.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace carawaypond {
+
+namespace {
+
+std::uint64_t ageMillis(TimePoint AsOf, TimePoint Now) {
+  Duration Age = std::max(Now - AsOf, Duration(0));
+  return static_cast<std::uint64_t>(
+      std::chrono::ceil<Milliseconds>(Age).count());
+}
+
+} // namespace
+
+CentreTally::CentreTally(VmName Self, DataCentre Own)
+    : m_Self(std::move(Self)), m_Own(std::move(Own)) {}
+
+std::optional<TimePoint> CentreTally::majorityAsOf(std::size_t Total,
+                                                   TimePoint Now) const {
+  std::vector<std::pair<TimePoint, std::size_t>> Heard = {{Now, 1}};
+  for (const auto &[Name, AsOf] : m_Peers)
+    Heard.emplace_back(AsOf, 1);
+  for (const auto &[Centre, Remote] : m_Remotes)
+    Heard.emplace_back(Remote.AsOf, Remote.Heard);
+  std::sort(Heard.begin(), Heard.end(), std::greater<>());
+  std::size_t Sum = 0;
+  for (const auto &[AsOf, Count] : Heard) {
+    Sum += Count;
+    if (2 * Sum > Total)
+      return std::min(AsOf, Now);
+  }
+  return std::nullopt;
+}
+
+std::optional<TimePoint>
+CentreTally::peersAsOf(const std::vector<VmName> &Peers,
+                       std::size_t Count) const {
+  CARAWAYPOND_INVARIANT(Count > 0, "asked when no peer at all was heard");
+  std::vector<TimePoint> Heard;
+  for (const VmName &Peer : Peers)
+    if (auto Found = m_Peers.find(Peer); Found != m_Peers.end())
+      Heard.push_back(Found->second);
+  if (Heard.size() < Count)
+    return std::nullopt;
+  std::sort(Heard.begin(), Heard.end(), std::greater<>());
+  return Heard[Count - 1];
+}
+
+std::optional<TimePoint>
+CentreTally::centreAsOf(const DataCentre &Centre) const {
+  auto Found = m_Remotes.find(Centre);
+  if (Found == m_Remotes.end())
+    return std::nullopt;
+  return Found->second.AsOf;
+}
+
+std::vector<CentreHeard> CentreTally::summary(TimePoint Now,
+                                              Duration Window) const {
+  CentreHeard Own{.Centre = m_Own, .Heard = 1, .AgeMillis = 0};
+  for (const auto &[Name, AsOf] : m_Peers) {
+    if (Now - AsOf > Window)
+      continue;
+    ++Own.Heard;
+    Own.AgeMillis = std::max(Own.AgeMillis, ageMillis(AsOf, Now));
+  }
+  std::vector<CentreHeard> All = {Own};
+  for (const auto &[Centre, Remote] : m_Remotes)
+    All.push_back({.Centre = Centre,
+                   .Heard = Remote.Heard,
+                   .AgeMillis = ageMillis(Remote.AsOf, Now)});
+  return All;
+}
+
+void CentreTally::onReply(const Digest &Reply, TimePoint SentAt) {
+  if (Reply.Sender.Centre == m_Own && Reply.Sender.Name != m_Self) {
+    TimePoint &AsOf = m_Peers[Reply.Sender.Name];
+    AsOf = std::max(AsOf, SentAt);
+  }
+  for (const CentreHeard &Told : Reply.Centres) {
+    if (Told.Centre == m_Own)
+      continue;
+    TimePoint AsOf = SentAt - Milliseconds(Told.AgeMillis);
+    auto [Known, IsNew] = m_Remotes.try_emplace(Told.Centre);
+    if (IsNew || AsOf > Known->second.AsOf)
+      Known->second = {.Heard = Told.Heard, .AsOf = AsOf};
+  }
+}
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/membership/CentreTally.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "coordination/membership/Digest.h"
+#include "core/id/Ids.h"
+#include "core/time/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace carawaypond {
+
+/// @brief How many VMs were heard as of when: those of this data centre one by
+/// one, those of the others as one number each. Only replies are evidence.
+class CentreTally {
+public:
+  CentreTally(VmName Self, DataCentre Own);
+
+  /// @return The latest time as of which more than half of @p Total VMs were
+  /// heard, this one included; nothing when that many never were.
+  [[nodiscard]] std::optional<TimePoint> majorityAsOf(std::size_t Total,
+                                                      TimePoint Now) const;
+  /// @return The latest time as of which @p Count VMs of this data centre
+  /// among @p Peers were heard, this one not included.
+  [[nodiscard]] std::optional<TimePoint>
+  peersAsOf(const std::vector<VmName> &Peers, std::size_t Count) const;
+  /// @return When the data centre was last heard of, directly or not.
+  [[nodiscard]] std::optional<TimePoint>
+  centreAsOf(const DataCentre &Centre) const;
+  /// @return What to tell others.
+  [[nodiscard]] std::vector<CentreHeard> summary(TimePoint Now,
+                                                 Duration Window) const;
+
+  /// @brief Takes the evidence in a reply to a request sent at @p SentAt.
+  void onReply(const Digest &Reply, TimePoint SentAt);
+  void forget(const VmName &Name) { m_Peers.erase(Name); }
+
+private:
+  struct RemoteCentre {
+    std::uint32_t Heard = 0;
+    TimePoint AsOf;
+  };
+
+  VmName m_Self;
+  DataCentre m_Own;
+  std::map<VmName, TimePoint> m_Peers;
+  std::map<DataCentre, RemoteCentre> m_Remotes;
+};
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/membership/Contact.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "core/id/Ids.h"
+
+#include <string>
+
+namespace carawaypond {
+
+/// @brief A VM to exchange digests with now.
+struct Contact {
+  VmName Name;
+  std::string PeerAddress; ///< "ip:port".
+  bool Full = false;       ///< Send Membership::fill() with records.
+
+  friend bool operator==(const Contact &, const Contact &) = default;
+};
+
+} // namespace carawaypond
--- a/packages/coordination/src/coordination/membership/Digest.h
+++ b/packages/coordination/src/coordination/membership/Digest.h
@@ -46,12 +46,22 @@
                          const ServiceReplicaVersions &) = default;
 };
 
+/// @brief How many VMs of one data centre were heard, as known to the sender.
+struct CentreHeard {
+  DataCentre Centre;
+  std::uint32_t Heard = 0;     ///< VMs of it that answered one of its VMs.
+  std::uint64_t AgeMillis = 0; ///< Upper bound of the time since all did.
+
+  friend bool operator==(const CentreHeard &, const CentreHeard &) = default;
+};
+
 /// @brief What two VMs tell each other. An exchange is a request that carries
 /// the caller's digest and a reply that carries the other's; only replies
 /// count as evidence of recency, since they were made after the request left.
 struct Digest {
   VmRecord Sender;
-  std::vector<VmRecord> Vms;       ///< Recent changes, and a rotating part.
+  std::vector<VmRecord> Vms; ///< Recent changes, and a rotating part.
+  std::vector<CentreHeard> Centres;
   std::vector<ConfigHeld> Configs; ///< Recent changes, and a rotating part.
   std::uint64_t ConfigCount = 0;   ///< Configurations that the sender holds.
   std::uint64_t ConfigFingerprint = 0; ///< Over all of them.
--- /dev/null
+++ b/packages/coordination/src/coordination/membership/Membership.cpp
@@ -0,0 +1,325 @@
+#include "coordination/membership/Membership.h"
+
+#include "core/invariant/Invariant.h"
+
+#include <algorithm>
+#include <bit>
+#include <set>
+#include <utility>
+
+namespace carawaypond {
+
+namespace {
+
+constexpr std::uint32_t AnnouncementFactor = 3; // times log2 of the VMs
+
+bool mayServe(const VmRecord &Record) {
+  return Record.State == VmState::Live || Record.State == VmState::Suspect;
+}
+
+} // namespace
+
+Membership::Membership(MembershipOptions Options)
+    : m_Options(std::move(Options)), m_Self(m_Options.Self),
+      m_Table(m_Options.MaxVms), m_Tally(m_Self.Name, m_Self.Centre) {
+  CARAWAYPOND_INVARIANT(m_Self.Life.value() > 0, "life 0 means never heard");
+}
+
+std::vector<VmRecord> Membership::others() const {
+  std::vector<VmRecord> All;
+  for (const auto &[Name, Record] : m_Table.records())
+    All.push_back(Record);
+  return All;
+}
+
+std::vector<VmName> Membership::liveVms() const {
+  std::vector<VmName> Live;
+  for (const auto &[Name, Record] : m_Table.records())
+    if (Record.State == VmState::Live)
+      Live.push_back(Name);
+  if (m_Self.State == VmState::Live)
+    Live.push_back(m_Self.Name);
+  std::sort(Live.begin(), Live.end());
+  return Live;
+}
+
+VmState Membership::stateOf(const VmName &Name) const {
+  std::optional<VmRecord> Record = find(Name);
+  return Record ? Record->State : VmState::Gone;
+}
+
+std::optional<VmRecord> Membership::find(const VmName &Name) const {
+  if (Name == m_Self.Name)
+    return m_Self;
+  const VmRecord *Known = m_Table.find(Name);
+  return Known ? std::optional(*Known) : std::nullopt;
+}
+
+std::optional<TimePoint> Membership::majorityAsOf(TimePoint Now) const {
+  const VmTable::Records &All = m_Table.records();
+  auto Others = std::count_if(All.begin(), All.end(), [](const auto &Entry) {
+    return mayServe(Entry.second);
+  });
+  return m_Tally.majorityAsOf(static_cast<std::size_t>(Others) + 1, Now);
+}
+
+std::optional<TimePoint> Membership::peersAsOf(TimePoint Now) const {
+  std::vector<VmName> Peers = livePeers();
+  if (Peers.empty())
+    return Now;
+  return m_Tally.peersAsOf(Peers, (Peers.size() + 1) / 2);
+}
+
+std::vector<Contact> Membership::tick(TimePoint Now) {
+  skipPause(Now);
+  ++m_Self.Counter;
+  judge(Now);
+  std::vector<Contact> Contacts;
+  addPeers(Contacts);
+  addCentres(Contacts);
+  addListed(Contacts);
+  return Contacts;
+}
+
+void Membership::skipPause(TimePoint Now) {
+  CARAWAYPOND_INVARIANT(!m_LastTick || Now >= *m_LastTick,
+                        "the monotonic clock went backwards");
+  Duration Gap = m_LastTick ? Now - *m_LastTick : Duration(0);
+  m_LastTick = Now;
+  if (Gap <= m_Options.PauseBound)
+    return;
+  for (auto &[Name, Watched] : m_Watches) {
+    Watched.Arrivals.shift(Gap);
+    if (Watched.SuspectedAt)
+      *Watched.SuspectedAt += Gap;
+  }
+}
+
+void Membership::judge(TimePoint Now) {
+  std::vector<VmName> Forgotten;
+  for (const auto &[Name, Record] : m_Table.records()) {
+    Watch &Watched = m_Watches[Name];
+    judgeOne(Record, Watched, Now);
+    if (Record.State == VmState::Gone && Watched.SuspectedAt &&
+        Now - *Watched.SuspectedAt > m_Options.ForgetAfter)
+      Forgotten.push_back(Name);
+  }
+  for (const VmName &Name : Forgotten) {
+    m_Table.erase(Name);
+    m_Watches.erase(Name);
+    m_Tally.forget(Name);
+  }
+}
+
+void Membership::judgeOne(const VmRecord &Record, Watch &Watched,
+                          TimePoint Now) {
+  if (!isSilent(Record, Watched, Now)) {
+    if (Record.State == VmState::Live)
+      Watched.SuspectedAt.reset();
+    return;
+  }
+  if (!Watched.SuspectedAt)
+    Watched.SuspectedAt = Now;
+  if (Record.State == VmState::Live)
+    conclude(Record.Name, Watched, VmState::Suspect);
+  else if (Record.State != VmState::Gone &&
+           Now - *Watched.SuspectedAt > m_Options.GoneAfter)
+    conclude(Record.Name, Watched, VmState::Gone);
+}
+
+bool Membership::isSilent(const VmRecord &Record, const Watch &Watched,
+                          TimePoint Now) const {
+  if (Record.State == VmState::Gone || Record.State == VmState::Suspect)
+    return true;
+  std::optional<TimePoint> Last = Watched.Arrivals.lastHeard();
+  if (!Last)
+    return true;
+  if (Record.Centre == m_Self.Centre)
+    return Now - *Last > Watched.Arrivals.timeout(m_Options.SuspectFloor,
+                                                  m_Options.SuspectCeiling);
+  std::optional<TimePoint> Centre = m_Tally.centreAsOf(Record.Centre);
+  TimePoint Newest = std::max(*Last, Centre.value_or(*Last));
+  return Now - Newest > m_Options.CentreSilence;
+}
+
+void Membership::conclude(const VmName &Name, Watch &Watched, VmState State) {
+  if (State == VmState::Suspect)
+    ++m_Suspicions;
+  m_Table.conclude(Name, State);
+  Watched.Announcements = announcements();
+}
+
+std::uint32_t Membership::announcements() const {
+  auto Vms = static_cast<std::uint32_t>(m_Table.records().size());
+  return AnnouncementFactor * static_cast<std::uint32_t>(std::bit_width(Vms));
+}
+
+std::vector<VmName> Membership::livePeers() const {
+  std::vector<VmName> Peers;
+  for (const auto &[Name, Record] : m_Table.records())
+    if (Record.Centre == m_Self.Centre && Record.State == VmState::Live)
+      Peers.push_back(Name);
+  return Peers;
+}
+
+std::vector<VmName>
+Membership::representatives(const DataCentre &Centre) const {
+  std::vector<VmName> Chosen;
+  std::vector<VmName> Spare;
+  for (const auto &[Name, Record] : m_Table.records()) {
+    if (Record.Centre != Centre || Record.State == VmState::Gone)
+      continue;
+    (Record.State == VmState::Live ? Chosen : Spare).push_back(Name);
+  }
+  if (Centre == m_Self.Centre && m_Self.State == VmState::Live)
+    Chosen.push_back(m_Self.Name);
+  std::sort(Chosen.begin(), Chosen.end());
+  Chosen.insert(Chosen.end(), Spare.begin(), Spare.end());
+  Chosen.resize(std::min(Chosen.size(), m_Options.Representatives));
+  return Chosen;
+}
+
+void Membership::addPeers(std::vector<Contact> &Contacts) {
+  std::vector<const VmRecord *> Peers;
+  for (const auto &[Name, Record] : m_Table.records())
+    if (Record.Centre == m_Self.Centre && Record.State != VmState::Gone)
+      Peers.push_back(&Record);
+  auto First = std::find_if(Peers.begin(), Peers.end(), [&](const auto *Peer) {
+    return Peer->Name > m_PeerCursor;
+  });
+  std::rotate(Peers.begin(), First, Peers.end());
+  Peers.resize(std::min(Peers.size(), m_Options.PeersPerTick));
+  for (const VmRecord *Peer : Peers)
+    Contacts.push_back({.Name = Peer->Name,
+                        .PeerAddress = Peer->PeerAddress,
+                        .Full = Contacts.size() < m_Options.FullPerTick});
+  // The cursor moves by the full digests when every peer is contacted anyway,
+  // so that these go round too.
+  std::size_t Step = Peers.size() < m_Options.PeersPerTick
+                         ? std::min(Peers.size(), m_Options.FullPerTick)
+                         : Peers.size();
+  if (Step > 0)
+    m_PeerCursor = Peers[Step - 1]->Name;
+}
+
+void Membership::addCentres(std::vector<Contact> &Contacts) {
+  std::vector<VmName> Own = representatives(m_Self.Centre);
+  if (std::find(Own.begin(), Own.end(), m_Self.Name) == Own.end())
+    return;
+  std::set<DataCentre> Known;
+  for (const auto &[Name, Record] : m_Table.records())
+    if (Record.Centre != m_Self.Centre && Record.State != VmState::Gone)
+      Known.insert(Record.Centre);
+  std::vector<DataCentre> Centres(Known.begin(), Known.end());
+  std::rotate(Centres.begin(),
+              std::upper_bound(Centres.begin(), Centres.end(), m_CentreCursor),
+              Centres.end());
+  Centres.resize(std::min(Centres.size(), m_Options.CentresPerTick));
+  for (const DataCentre &Centre : Centres) {
+    std::vector<VmName> There = representatives(Centre);
+    const VmName &Chosen = There[m_Self.Counter % There.size()];
+    Contacts.push_back({.Name = Chosen,
+                        .PeerAddress = m_Table.find(Chosen)->PeerAddress,
+                        .Full = true});
+    m_CentreCursor = Centre;
+  }
+}
+
+void Membership::addListed(std::vector<Contact> &Contacts) {
+  for (std::size_t I = 0; I < m_Listed.size(); ++I) {
+    m_ListedCursor = (m_ListedCursor + 1) % m_Listed.size();
+    const ListedVm &Vm = m_Listed[m_ListedCursor];
+    if (Vm.Name == m_Self.Name || stateOf(Vm.Name) != VmState::Gone)
+      continue;
+    Contacts.push_back(
+        {.Name = Vm.Name, .PeerAddress = Vm.PeerAddress, .Full = true});
+    return;
+  }
+}
+
+void Membership::fill(Digest &Out, bool Full, TimePoint Now) {
+  Out.Sender = m_Self;
+  if (!Full)
+    return;
+  Out.Centres = m_Tally.summary(Now, m_Options.HeardWindow);
+  for (auto &[Name, Watched] : m_Watches) {
+    const VmRecord *Record = m_Table.find(Name);
+    if (Watched.Announcements == 0 || !Record)
+      continue;
+    if (Out.Vms.size() >= m_Options.RecordsPerDigest)
+      break;
+    --Watched.Announcements;
+    Out.Vms.push_back(*Record);
+  }
+  std::size_t Left = m_Options.RecordsPerDigest - Out.Vms.size();
+  for (VmRecord &Record : m_Table.rotate(Left))
+    Out.Vms.push_back(std::move(Record));
+  CARAWAYPOND_INVARIANT(Out.Vms.size() <= m_Options.RecordsPerDigest,
+                        "a digest outgrew its bound");
+}
+
+void Membership::onRequest(const Digest &Heard, TimePoint Now) {
+  onDigest(Heard, Now);
+}
+
+void Membership::onReply(const Digest &Heard, TimePoint SentAt, TimePoint Now) {
+  CARAWAYPOND_INVARIANT(SentAt <= Now, "a reply came before its request");
+  m_Tally.onReply(Heard, SentAt);
+  onDigest(Heard, Now);
+}
+
+void Membership::onDigest(const Digest &Heard, TimePoint Now) {
+  take(Heard.Sender, true, Now);
+  for (const VmRecord &Record : Heard.Vms)
+    take(Record, false, Now);
+}
+
+void Membership::take(const VmRecord &Record, bool Direct, TimePoint Now) {
+  if (Record.Name == m_Self.Name) {
+    onRumour(Record);
+    return;
+  }
+  VmTable::Change What = m_Table.merge(Record);
+  if (!m_Table.find(Record.Name))
+    return;
+  Watch &Watched = m_Watches[Record.Name];
+  bool IsSameLife = m_Table.find(Record.Name)->Life == Record.Life;
+  bool HasLaterHeartbeat =
+      What != VmTable::Change::None && Record.State == VmState::Live;
+  if (IsSameLife && (Direct || HasLaterHeartbeat))
+    Watched.Arrivals.record(Now);
+  if (What == VmTable::Change::Notable)
+    Watched.Announcements = announcements();
+  if (m_Table.find(Record.Name)->State == VmState::Live)
+    Watched.SuspectedAt.reset();
+}
+
+void Membership::onRumour(const VmRecord &Record) {
+  m_Superseded = m_Superseded || Record.Life > m_Self.Life;
+  if (Record.Life == m_Self.Life && Record.State > m_Self.State)
+    m_Self.Counter = std::max(m_Self.Counter, Record.Counter + 1);
+}
+
+void Membership::onVmList(const std::vector<ListedVm> &Listed, TimePoint Now) {
+  m_Listed = Listed;
+  for (const ListedVm &Vm : Listed) {
+    if (Vm.Name == m_Self.Name || Vm.Leaving || m_Table.find(Vm.Name))
+      continue;
+    VmRecord Seed{.Name = Vm.Name,
+                  .Life = Incarnation(0),
+                  .Centre = Vm.Centre,
+                  .PeerAddress = Vm.PeerAddress,
+                  .CallerAddress = {},
+                  .OperatorAddress = {},
+                  .State = VmState::Suspect};
+    if (m_Table.merge(Seed) == VmTable::Change::Notable)
+      m_Watches[Vm.Name].SuspectedAt = Now;
+  }
+}
+
+void Membership::leave() {
+  ++m_Self.Counter;
+  m_Self.State = VmState::Leaving;
+}
+
+} // namespace carawaypond
--- a/packages/coordination/src/coordination/membership/fwd.h
+++ b/packages/coordination/src/coordination/membership/fwd.h
@@ -6,11 +6,16 @@
 
 enum class VmState : std::uint8_t;
 class ArrivalHistory;
+class CentreTally;
 class Membership;
+class VmTable;
+struct CentreHeard;
 struct ConfigHeld;
+struct Contact;
 struct Digest;
 struct DrainSign;
 struct IndexHeld;
+struct ListedVm;
 struct MembershipOptions;
 struct ServiceReplicaVersions;
 struct VmRecord;
