Configuration, submissions, reading the store, and tickets

A submission must have one true outcome although answers of the store get lost: the plan reads, writes on condition of the version read, and reads back for its id in the history; a history that no longer reaches back yields unknown, never a guess. Tickets: only the incarnation that gave one out runs it; a table of keys in the store was ruled out (a write for each request).

--- /dev/null
+++ b/packages/coordination/src/coordination/configuration/fwd.h
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace carawaypond {
+
+class ConfigBook;
+class ForceCheck;
+class StoreFeed;
+class SubmissionPlan;
+class WatchPlan;
+enum class Taken;
+struct StoreFeedOptions;
+struct StoredObject;
+struct Submission;
+struct WatchPlanOptions;
+
+} // namespace carawaypond
--- a/packages/coordination/src/coordination/internal/Mutant.h
+++ b/packages/coordination/src/coordination/internal/Mutant.h
@@ -14,6 +14,13 @@
   CoverageFromAnswers, ///< Takes the list of shards from who answered.
   AcceptAnyQuery,      ///< Takes an answer without checking whose it is.
   DoubtIsNotRun,       ///< Reports a lost subrequest as one that did not run.
+  RunForeignTicket,    ///< Runs a ticket that another incarnation gave out.
+  KeepDrainSigns,      ///< Tells no other VM that a server is leaving.
+  SendUninformed,      ///< Sends before hearing what a pause may have hidden.
+  StopAtOnce,          ///< Stops without waiting for old address answers.
+  TakeAnyVersion,      ///< Takes a lower version of a configuration.
+  SkipReadBack,        ///< Guesses the outcome of a write in doubt.
+  ServeUnconfirmed,    ///< Serves although its configuration may be old.
 };
 
 #ifdef CARAWAYPOND_MUTANTS
--- /dev/null
+++ b/packages/coordination/src/coordination/ticket/fwd.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace carawaypond {
+
+class TicketBook;
+struct Ticket;
+struct TicketBookOptions;
+
+} // namespace carawaypond
