--- /dev/null
+++ b/packages/coordination/src/coordination/membership/fwd.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+
+namespace carawaypond {
+
+enum class VmState : std::uint8_t;
+class ArrivalHistory;
+class CentreTally;
+class Membership;
+class VmTable;
+struct CentreHeard;
+struct ConfigHeld;
+struct Contact;
+struct Digest;
+struct DrainSign;
+struct IndexHeld;
+struct ListedVm;
+struct MembershipOptions;
+struct ServiceReplicaVersions;
+struct VmRecord;
+
+} // namespace carawaypond
