--- a/packages/daemon/src/daemon/traffic/BackendFleet.cpp
+++ b/packages/daemon/src/daemon/traffic/BackendFleet.cpp
@@ -77,8 +77,7 @@
   std::uint32_t Cap = connectionCap(Info.Name, Info.Connections,
                                     m_Context.Config.Vm, MayConnect);
   Entry &Server = m_Servers[Info.Name];
-  bool IsMoved =
-      Server.Pool && Server.Pool->options().Address != Info.Address;
+  bool IsMoved = Server.Pool && Server.Pool->options().Address != Info.Address;
   if (!Server.Pool || IsMoved) {
     if (Server.Pool)
       m_OpenedByRemoved += Server.Pool->stats().Opened;
@@ -169,8 +168,7 @@
     return;
   auto Ask = [](std::shared_ptr<backend::ServerPool> Pool,
                 std::string Cancelled) -> asio::awaitable<void> {
-    co_await Pool->cancel(std::move(Cancelled),
-                          monotonicNow() + CancelTimeout);
+    co_await Pool->cancel(std::move(Cancelled), monotonicNow() + CancelTimeout);
   };
   m_Context.Collected.count("cancels_total");
   asio::co_spawn(m_Context.Io, Ask(Found->second.Pool, std::move(Id)),
--- a/packages/daemon/src/daemon/traffic/OwnerRunner.cpp
+++ b/packages/daemon/src/daemon/traffic/OwnerRunner.cpp
@@ -66,8 +66,8 @@
                             Now);
   }
   QueueActions operator()(const backend::SearchRefused &Refused) const {
-    SubReason Reason = subReasonFromString(Refused.Reason)
-                           .value_or(SubReason::Shed);
+    SubReason Reason =
+        subReasonFromString(Refused.Reason).value_or(SubReason::Shed);
     return Queue.onRefused(Send.Attempt,
                            {.Reason = Reason,
                             .Ran = false,
@@ -149,12 +149,12 @@
                            .Budget = Service->ownerBudget(),
                            .Latencies = Service->latencies(),
                            .Versions = Service->pinner().board()};
-  QueuePointer Made(new OwnedQueue{
-      .Key = Key,
-      .Service = std::move(Service),
-      .Replicas = std::move(Replicas),
-      .Queue = ReplicaSetQueue(std::move(Options), Resources),
-      .Timer = asio::steady_timer(m_Context.Io)});
+  QueuePointer Made(
+      new OwnedQueue{.Key = Key,
+                     .Service = std::move(Service),
+                     .Replicas = std::move(Replicas),
+                     .Queue = ReplicaSetQueue(std::move(Options), Resources),
+                     .Timer = asio::steady_timer(m_Context.Io)});
   m_Queues.emplace(Key, Made);
   for (const ServerName &Server : Made->Replicas)
     m_ByServer.emplace(Server, Made);
@@ -254,16 +254,16 @@
 asio::awaitable<void> OwnerRunner::run(QueuePointer Queue, SendAttempt Send) {
   TimePoint Now = monotonicNow();
   const Subrequest &Request = Send.Request;
-  backend::SearchRequest Search{
-      .Id = wireId(Send.Attempt),
-      .Service = Request.Service,
-      .Shard = Request.Shard,
-      .Version = Request.Version,
-      .Layout = Request.Layout,
-      .WallDeadline = toWall(Request.Deadline, Now, wallNow()),
-      .Deadline = Request.Deadline + AnswerGrace,
-      .Repeatable = Request.Repeatable,
-      .Request = *Request.Request};
+  backend::SearchRequest Search{.Id = wireId(Send.Attempt),
+                                .Service = Request.Service,
+                                .Shard = Request.Shard,
+                                .Version = Request.Version,
+                                .Layout = Request.Layout,
+                                .WallDeadline =
+                                    toWall(Request.Deadline, Now, wallNow()),
+                                .Deadline = Request.Deadline + AnswerGrace,
+                                .Repeatable = Request.Repeatable,
+                                .Request = *Request.Request};
   Queue->Queue.onStarted(Send.Attempt, Now);
   backend::SearchOutcome Outcome =
       co_await m_Fleet.search(Send.Server, std::move(Search));
--- a/packages/daemon/src/daemon/traffic/PeerConversion.cpp
+++ b/packages/daemon/src/daemon/traffic/PeerConversion.cpp
@@ -43,9 +43,8 @@
 SubVersionGone readVersionGone(const PeerResult &Result, ShardId Shard) {
   SubVersionGone Gone;
   if (Result.Server)
-    Gone.Served.push_back({.Server = *Result.Server,
-                           .Shard = Shard,
-                           .Ranges = Result.Ranges});
+    Gone.Served.push_back(
+        {.Server = *Result.Server, .Shard = Shard, .Ranges = Result.Ranges});
   return Gone;
 }
 
@@ -91,10 +90,10 @@
       subReasonFromString(Result.Reason).value_or(SubReason::Timeout);
   switch (Result.Outcome) {
   case PeerOutcome::Answered:
-    return SubAnswered{
-        .Version = Result.Version,
-        .Layout = Result.Layout,
-        .Payload = std::make_shared<const std::string>(Result.Payload)};
+    return SubAnswered{.Version = Result.Version,
+                       .Layout = Result.Layout,
+                       .Payload =
+                           std::make_shared<const std::string>(Result.Payload)};
   case PeerOutcome::NotRun:
     return SubNotRun{Reason};
   case PeerOutcome::InDoubt:
--- a/packages/daemon/src/daemon/traffic/QueryDriver.cpp
+++ b/packages/daemon/src/daemon/traffic/QueryDriver.cpp
@@ -66,14 +66,13 @@
   ShardId Shard = Request.Shard;
   // The outcome is posted: a queue may complete at once, while the actions of
   // this step are still being performed.
-  m_Resources.Owned.enqueue(
-      std::move(Request),
-      [Self = shared_from_this(), Id, Shard](SubOutcome Outcome) {
-        asio::post(Self->m_Timer.get_executor(),
-                   [Self, Id, Shard, Outcome = std::move(Outcome)]() mutable {
-                     Self->onOutcome(Id, Shard, std::move(Outcome));
-                   });
-      });
+  m_Resources.Owned.enqueue(std::move(Request), [Self = shared_from_this(), Id,
+                                                 Shard](SubOutcome Outcome) {
+    asio::post(Self->m_Timer.get_executor(),
+               [Self, Id, Shard, Outcome = std::move(Outcome)]() mutable {
+                 Self->onOutcome(Id, Shard, std::move(Outcome));
+               });
+  });
 }
 
 void QueryDriver::flushRemote() {
@@ -100,9 +99,9 @@
 
 void QueryDriver::onOutcome(SubrequestId Id, ShardId Shard,
                             SubOutcome Outcome) {
-  perform(m_Run.onEnded(
-      {.Id = Id, .Shard = Shard, .Outcome = std::move(Outcome)},
-      monotonicNow()));
+  perform(
+      m_Run.onEnded({.Id = Id, .Shard = Shard, .Outcome = std::move(Outcome)},
+                    monotonicNow()));
 }
 
 void QueryDriver::onOwnerLost(SubrequestId Id, bool MaySent) {
--- a/packages/daemon/src/daemon/traffic/QueryRequest.cpp
+++ b/packages/daemon/src/daemon/traffic/QueryRequest.cpp
@@ -15,8 +15,7 @@
 
 nlohmann::json parseBounded(const std::string &Body) {
   bool IsTooDeep = false;
-  auto Bound = [&](int Depth, nlohmann::json::parse_event_t,
-                   nlohmann::json &) {
+  auto Bound = [&](int Depth, nlohmann::json::parse_event_t, nlohmann::json &) {
     IsTooDeep = IsTooDeep || Depth > MaxJsonDepth;
     return !IsTooDeep;
   };
@@ -31,12 +30,12 @@
 Result<QueryRequest> parseQueryRequest(const std::string &Body) {
   nlohmann::json Value = parseBounded(Body);
   if (Value.is_discarded())
-    return failure(ErrorCode::InvalidInput,
-                   "the body is not JSON of at most " +
-                       std::to_string(MaxJsonDepth) + " levels");
+    return failure(ErrorCode::InvalidInput, "the body is not JSON of at most " +
+                                                std::to_string(MaxJsonDepth) +
+                                                " levels");
   JsonReader Reader(Value, "");
-  Reader.allowOnly({"service", "class", "request", "deadline_ms", "repeatable",
-                    "ticket"});
+  Reader.allowOnly(
+      {"service", "class", "request", "deadline_ms", "repeatable", "ticket"});
   QueryRequest Query;
   Query.Service = ServiceName(Reader.string("service", 1, 64));
   if (Reader.has("class"))
--- a/packages/daemon/src/daemon/traffic/QueryRequest.h
+++ b/packages/daemon/src/daemon/traffic/QueryRequest.h
@@ -13,7 +13,7 @@
 struct QueryRequest {
   ServiceName Service;
   std::optional<ClassName> Class;
-  std::string Request; ///< JSON text.
+  std::string Request;                  ///< JSON text.
   std::optional<Milliseconds> Deadline; ///< From its arrival.
   bool Repeatable = true;
   std::string Ticket; ///< Empty unless given.
--- a/packages/daemon/src/daemon/traffic/QueryResponse.cpp
+++ b/packages/daemon/src/daemon/traffic/QueryResponse.cpp
@@ -16,9 +16,8 @@
 
 http::Response refusal(unsigned Status, std::string_view Outcome,
                        std::string_view Reason, std::string_view Message) {
-  return jsonResponse(Status, {{"outcome", Outcome},
-                               {"reason", Reason},
-                               {"message", Message}});
+  return jsonResponse(
+      Status, {{"outcome", Outcome}, {"reason", Reason}, {"message", Message}});
 }
 
 unsigned statusOf(SubReason Reason) {
@@ -51,8 +50,8 @@
 nlohmann::json missingJson(const std::vector<MissingShard> &Missing) {
   nlohmann::json All = nlohmann::json::array();
   for (const MissingShard &Shard : Missing)
-    All.push_back({{"shard", Shard.Shard.value()},
-                   {"reason", toString(Shard.Reason)}});
+    All.push_back(
+        {{"shard", Shard.Shard.value()}, {"reason", toString(Shard.Reason)}});
   return All;
 }
 
@@ -109,8 +108,7 @@
   return refusal(504, "unknown", Reason, Message);
 }
 
-http::Response toResponse(const QueryResult &Result,
-                          const ServiceName &Service,
+http::Response toResponse(const QueryResult &Result, const ServiceName &Service,
                           const std::string &RequestId) {
   return std::visit(ResponseVisitor{Service, RequestId}, Result);
 }
--- a/packages/daemon/src/daemon/traffic/QueryRunner.cpp
+++ b/packages/daemon/src/daemon/traffic/QueryRunner.cpp
@@ -69,9 +69,7 @@
             .ShardsAnswered = Partial.Answers.size(),
             .ShardsTotal = Partial.total()};
   }
-  CoverageTotals operator()(const QueryNotRun &) const {
-    return {.NotRun = 1};
-  }
+  CoverageTotals operator()(const QueryNotRun &) const { return {.NotRun = 1}; }
   CoverageTotals operator()(const QueryUnknown &) const {
     return {.Unknown = 1};
   }
@@ -116,15 +114,14 @@
   if (Request.Request.size() > Config.Limits.RequestBytes)
     co_return notRun(413, "too_large",
                      "service \"" + Name + "\" takes requests of at most " +
-                         std::to_string(Config.Limits.RequestBytes) +
-                         " bytes");
-  Query Asked{.Service = Request.Service,
-              .Class = Class->Name,
-              .Deadline =
-                  ArrivedAt + Request.Deadline.value_or(Class->Deadline),
-              .Repeatable = Request.Repeatable,
-              .Request = std::make_shared<const std::string>(
-                  std::move(Request.Request))};
+                         std::to_string(Config.Limits.RequestBytes) + " bytes");
+  Query Asked{
+      .Service = Request.Service,
+      .Class = Class->Name,
+      .Deadline = ArrivedAt + Request.Deadline.value_or(Class->Deadline),
+      .Repeatable = Request.Repeatable,
+      .Request =
+          std::make_shared<const std::string>(std::move(Request.Request))};
   TimePoint Now = monotonicNow();
   AdmissionControl &Admission = Service->admission();
   Admission.noteExpectedWait(
--- a/packages/daemon/src/daemon/traffic/QueryRunner.h
+++ b/packages/daemon/src/daemon/traffic/QueryRunner.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "coordination/query/QueryResult.h"
+#include "coordination/query/QueryRun.h"
 #include "daemon/traffic/OwnerRunner.h"
 #include "daemon/traffic/QueryRequest.h"
 #include "daemon/traffic/RemoteOwners.h"
--- a/packages/daemon/src/daemon/traffic/RemoteOwners.cpp
+++ b/packages/daemon/src/daemon/traffic/RemoteOwners.cpp
@@ -40,8 +40,7 @@
     : m_Context(Context), m_Services(Services), m_Owned(Owned) {}
 
 void RemoteOwners::run(const ControlView &View, const VmName &Owner,
-                       std::vector<Subrequest> Batch,
-                       RemoteObserver Observer) {
+                       std::vector<Subrequest> Batch, RemoteObserver Observer) {
   const VmView *Vm = View.findVm(Owner);
   auto Sent = std::make_shared<SentBatch>();
   Sent->Observer = std::move(Observer);
@@ -49,8 +48,7 @@
   TimePoint Now = monotonicNow();
   WallMillis WallNow = wallNow();
   for (const Subrequest &Request : Batch) {
-    Sent->Parts.emplace(Request.Id,
-                        std::pair(Request.Service, Request.Shard));
+    Sent->Parts.emplace(Request.Id, std::pair(Request.Service, Request.Shard));
     Encoded.push_back(toPeer(Request, Now, WallNow));
   }
   auto OnLost = [this, Sent](const Error &Failure,
--- a/packages/daemon/src/daemon/traffic/ServiceTable.cpp
+++ b/packages/daemon/src/daemon/traffic/ServiceTable.cpp
@@ -20,8 +20,7 @@
   }
 }
 
-void ServiceTable::setServerState(const ServerName &Server,
-                                  ServerState State) {
+void ServiceTable::setServerState(const ServerName &Server, ServerState State) {
   for (auto &[Name, Service] : m_Services) {
     if (Service->index().findServer(Server))
       Service->pinner().board().setState(Server, State);
--- a/packages/daemon/src/daemon/traffic/TicketDesk.cpp
+++ b/packages/daemon/src/daemon/traffic/TicketDesk.cpp
@@ -74,9 +74,8 @@
   return m_Book.begin(Given, Service, Holder, monotonicNow());
 }
 
-asio::awaitable<http::Response> TicketDesk::run(QueryRequest Request,
-                                                std::string Body,
-                                                TimePoint ArrivedAt) {
+asio::awaitable<http::Response>
+TicketDesk::run(QueryRequest Request, std::string Body, TimePoint ArrivedAt) {
   Result<Ticket> Given = parseTicket(Request.Ticket);
   if (!Given)
     co_return notRun(400, "malformed", Given.error().Message);
@@ -110,9 +109,9 @@
   co_return Response;
 }
 
-asio::awaitable<http::Response>
-TicketDesk::awaitOutcome(Ticket Given, QueryRequest Request,
-                         TimePoint ArrivedAt) {
+asio::awaitable<http::Response> TicketDesk::awaitOutcome(Ticket Given,
+                                                         QueryRequest Request,
+                                                         TimePoint ArrivedAt) {
   TimePoint Deadline = ArrivedAt + Request.Deadline.value_or(DefaultWait);
   asio::steady_timer Timer(m_Context.Io);
   while (monotonicNow() < Deadline) {
@@ -127,32 +126,32 @@
   co_return unknown("in_progress", "the request has not ended yet");
 }
 
-asio::awaitable<http::Response>
-TicketDesk::forward(const ForwardTicket &To, const QueryRequest &Request,
-                    std::string Body, TimePoint ArrivedAt) {
+asio::awaitable<http::Response> TicketDesk::forward(const ForwardTicket &To,
+                                                    const QueryRequest &Request,
+                                                    std::string Body,
+                                                    TimePoint ArrivedAt) {
   std::shared_ptr<const ControlView> View = m_Context.Views.current();
   const VmView *Vm = View->findVm(To.Vm);
   if (!Vm || !m_Node)
     co_return unknown("ticket", "the VM \"" + To.Vm.value() +
                                     "\" that gave the ticket out is not known");
   Milliseconds Wait = Request.Deadline.value_or(DefaultWait);
-  WallMillis Deadline =
-      toWall(ArrivedAt + Wait, monotonicNow(), wallNow());
-  auto Answer = std::make_shared<std::optional<Result<peer::PeerQueryAnswer>>>();
+  WallMillis Deadline = toWall(ArrivedAt + Wait, monotonicNow(), wallNow());
+  auto Answer =
+      std::make_shared<std::optional<Result<peer::PeerQueryAnswer>>>();
   auto Timer = std::make_shared<asio::steady_timer>(m_Context.Io);
   Timer->expires_at(TimePoint::max());
   m_Context.Collected.count("tickets_forwarded_total");
-  m_Node->query(Vm->PeerAddress, To.Life,
-                {.Ticket = Request.Ticket,
-                 .Deadline = Deadline,
-                 .Body = std::move(Body)},
-                [this, Answer, Timer](Result<peer::PeerQueryAnswer> Got) {
-                  asio::post(m_Context.Io, [Answer, Timer, Got] {
-                    *Answer = Got;
-                    Timer->cancel();
-                  });
-                },
-                Wait + ForwardGrace);
+  m_Node->query(
+      Vm->PeerAddress, To.Life,
+      {.Ticket = Request.Ticket, .Deadline = Deadline, .Body = std::move(Body)},
+      [this, Answer, Timer](Result<peer::PeerQueryAnswer> Got) {
+        asio::post(m_Context.Io, [Answer, Timer, Got] {
+          *Answer = Got;
+          Timer->cancel();
+        });
+      },
+      Wait + ForwardGrace);
   boost::system::error_code Cancelled;
   while (!*Answer)
     co_await Timer->async_wait(
@@ -178,9 +177,9 @@
   Asked.Deadline = std::chrono::ceil<Milliseconds>(
       toMonotonic(Query.Deadline, Now, wallNow()) - Now);
   http::Response Response = co_await run(std::move(Asked), "", Now);
-  Answer(peer::PeerQueryAnswer{
-      .Status = static_cast<std::uint16_t>(Response.Status),
-      .Body = Response.Body});
+  Answer(peer::PeerQueryAnswer{.Status =
+                                   static_cast<std::uint16_t>(Response.Status),
+                               .Body = Response.Body});
 }
 
 } // namespace carawaypond::daemon
--- a/packages/daemon/src/daemon/traffic/TicketDesk.h
+++ b/packages/daemon/src/daemon/traffic/TicketDesk.h
@@ -38,15 +38,14 @@
 
   /// @brief Serves a request that another VM passed on. Call it on the traffic
   /// thread.
-  boost::asio::awaitable<void>
-  serve(peer::PeerQuery Query, peer::Reply<peer::PeerQueryAnswer> Answer);
+  boost::asio::awaitable<void> serve(peer::PeerQuery Query,
+                                     peer::Reply<peer::PeerQueryAnswer> Answer);
 
 private:
   boost::asio::awaitable<http::Response>
   runOnce(const Ticket &Given, QueryRequest Request, TimePoint ArrivedAt);
-  boost::asio::awaitable<http::Response> awaitOutcome(Ticket Given,
-                                                      QueryRequest Request,
-                                                      TimePoint ArrivedAt);
+  boost::asio::awaitable<http::Response>
+  awaitOutcome(Ticket Given, QueryRequest Request, TimePoint ArrivedAt);
   boost::asio::awaitable<http::Response> forward(const ForwardTicket &To,
                                                  const QueryRequest &Request,
                                                  std::string Body,
--- /dev/null
+++ b/packages/daemon/src/daemon/traffic/TrafficNode.cpp
@@ -0,0 +1,113 @@
+#include "daemon/traffic/TrafficNode.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace carawaypond::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Milliseconds HousekeepingPeriod{1000};
+
+http::ListenerOptions listenerOptions(const Settings &Config) {
+  return {.Address = Config.Listen.Callers,
+          .MaxBodyBytes = Config.Callers.BodyBytes,
+          .HeaderTimeout = Config.Callers.HeaderTimeout,
+          .IdleTimeout = Config.Callers.IdleTimeout,
+          .MaxConnections = Config.Callers.Connections,
+          .MaxConnectionsPerAddress = Config.Callers.ConnectionsPerAddress};
+}
+
+} // namespace
+
+TrafficNode::TrafficNode(asio::io_context &Io, const Settings &Config,
+                         Incarnation Life, ViewHolder &Views,
+                         Metrics &Collected, TrafficHandlers Handlers)
+    : m_Context{.Io = Io,
+                .Config = Config,
+                .Life = Life,
+                .Views = Views,
+                .Collected = Collected,
+                .OnDrainSign = std::move(Handlers.OnDrainSign)},
+      m_Services(Config.Policy),
+      m_Fleet(m_Context,
+              [this](const ServerName &Server, ServerState State) {
+                m_Services.setServerState(Server, State);
+                m_Owned.onServerChanged(Server);
+              }),
+      m_Owned(m_Context, m_Services, m_Fleet),
+      m_Remote(m_Context, m_Services, m_Owned),
+      m_Queries(m_Context, m_Services, m_Owned, m_Remote),
+      m_Tickets(m_Context, m_Queries),
+      m_Api(m_Context, m_Queries, m_Tickets, std::move(Handlers.Addresses)),
+      m_Poller(m_Context, m_Services, m_Fleet, std::move(Handlers.OnVersions)) {
+}
+
+std::string TrafficNode::address() const { return m_Listener->address(); }
+
+http::ListenerStats TrafficNode::listenerStats() const {
+  return m_Listener->stats();
+}
+
+Result<void> TrafficNode::start() {
+  auto Opened =
+      http::Listener::open(m_Context.Io, listenerOptions(m_Context.Config),
+                           [this](http::Request Request) {
+                             return m_Api.handle(std::move(Request));
+                           });
+  if (!Opened)
+    return boost::outcome_v2::failure(Opened.error());
+  m_Listener = std::move(Opened.value());
+  asio::co_spawn(m_Context.Io, m_Poller.run(), asio::detached);
+  asio::co_spawn(m_Context.Io, keepHouse(), asio::detached);
+  return success();
+}
+
+void TrafficNode::attach(peer::PeerNode &Node) {
+  m_Remote.attach(Node);
+  m_Tickets.attach(Node);
+}
+
+void TrafficNode::follow() {
+  std::shared_ptr<const ControlView> View = m_Context.Views.current();
+  if (View->Generation == m_Followed)
+    return;
+  m_Followed = View->Generation;
+  m_Services.apply(*View);
+  m_Fleet.apply(*View);
+  m_Poller.apply(*View);
+  m_Queries.apply(std::move(View));
+}
+
+void TrafficNode::takeVersions(const std::vector<ServiceReplicaVersions> &Heard,
+                               TimePoint HeardAt) {
+  for (const ServiceReplicaVersions &Row : Heard) {
+    if (ServiceTable::Entry Service = m_Services.find(Row.Service))
+      Service->pinner().board().noteStatus(Row.Replica, HeardAt);
+  }
+}
+
+void TrafficNode::beginDraining() { m_Listener->setDraining(true); }
+
+void TrafficNode::closeListener() {
+  m_Listener->stopAccepting();
+  m_Listener->closeIdle();
+}
+
+asio::awaitable<void> TrafficNode::keepHouse() {
+  asio::steady_timer Timer(m_Context.Io);
+  while (true) {
+    Timer.expires_after(HousekeepingPeriod);
+    co_await Timer.async_wait(asio::use_awaitable);
+    m_Owned.dropUnused();
+    m_Fleet.closeIdle();
+    m_Context.Collected.set("backend_connections_opened_total",
+                            m_Fleet.connectionsOpened());
+  }
+}
+
+} // namespace carawaypond::daemon
--- a/packages/daemon/test/daemon/metrics/MetricsTest.cpp
+++ b/packages/daemon/test/daemon/metrics/MetricsTest.cpp
@@ -15,8 +15,7 @@
   CHECK(Text.find("carawaypond_queries_total{outcome=\"complete\"} 2\n") !=
         std::string::npos);
   CHECK(Text.find("carawaypond_query_milliseconds_bucket{service=\"claims\","
-                  "class=\"interactive\",le=\"10\"} 1\n") !=
-        std::string::npos);
+                  "class=\"interactive\",le=\"10\"} 1\n") != std::string::npos);
   CHECK(Text.find("le=\"5\"} 0\n") != std::string::npos);
 }
 
--- a/packages/peer/src/peer/link/PeerLink.cpp
+++ b/packages/peer/src/peer/link/PeerLink.cpp
@@ -68,9 +68,8 @@
     Result<void> Sendable = Up ? checkCall() : Up;
     if (!Sendable)
       return OnReply(Sendable.error());
-    auto Call = Kind == ObjectKind::Service
-                    ? m_Connection->fetchServices(Names)
-                    : m_Connection->fetchIndexes(Names);
+    auto Call = Kind == ObjectKind::Service ? m_Connection->fetchServices(Names)
+                                            : m_Connection->fetchIndexes(Names);
     track(kj::mv(Call), OnReply, Timeout);
   });
 }
@@ -158,9 +157,8 @@
                      std::to_string(Expected.value()));
 }
 
-Result<void>
-PeerLink::checkBatch(Incarnation Expected,
-                     const std::vector<PeerSubrequest> &Batch) {
+Result<void> PeerLink::checkBatch(Incarnation Expected,
+                                  const std::vector<PeerSubrequest> &Batch) {
   if (Result<void> Match = checkExpected(Expected); !Match)
     return Match;
   const PeerOptions &Options = m_Context.Options;
@@ -170,14 +168,14 @@
                    "a batch of " + std::to_string(Bytes) +
                        " bytes exceeds the limit of " +
                        std::to_string(Options.MaxMessageBytes));
-  bool Full = m_Runs.outstanding() + Batch.size() >
-                  Options.MaxOutstandingSubrequests ||
-              m_Connection->queuedBytes() > Options.MaxQueuedBytes;
+  bool Full =
+      m_Runs.outstanding() + Batch.size() > Options.MaxOutstandingSubrequests ||
+      m_Connection->queuedBytes() > Options.MaxQueuedBytes;
   if (!Full)
     return success();
   ++m_Context.Counters.CallsRefused;
-  return failure(ErrorCode::NotConnected, "the queue to " + m_Address +
-                                              " is full, nothing was sent");
+  return failure(ErrorCode::NotConnected,
+                 "the queue to " + m_Address + " is full, nothing was sent");
 }
 
 TimePoint PeerLink::expiryOf(const std::vector<PeerSubrequest> &Batch) const {
--- a/packages/peer/src/peer/session/PeerSession.cpp
+++ b/packages/peer/src/peer/session/PeerSession.cpp
@@ -24,8 +24,8 @@
       m_Tasks(*this) {
   setNoDelay(*m_Stream);
   auto Gone = [this] { close(); };
-  m_Tasks.add(
-      m_Network.onDisconnect().then(Gone, [Gone](kj::Exception &&) { Gone(); }));
+  m_Tasks.add(m_Network.onDisconnect().then(
+      Gone, [Gone](kj::Exception &&) { Gone(); }));
 }
 
 PeerSession::~PeerSession() noexcept(false) = default;
--- a/packages/peer/test/peer/node/NodeFixture.h
+++ b/packages/peer/test/peer/node/NodeFixture.h
@@ -60,9 +60,8 @@
       OnReply(std::move(Objects));
     };
     Handlers.OnRun = [this](const PeerIdentity &From, auto Batch, auto Sink) {
-      Runs.put({.From = From,
-                .Batch = std::move(Batch),
-                .Sink = std::move(Sink)});
+      Runs.put(
+          {.From = From, .Batch = std::move(Batch), .Sink = std::move(Sink)});
     };
     Handlers.OnCancel = [this](const PeerIdentity &, const auto &Ids) {
       Cancels.put(Ids);
@@ -83,9 +82,10 @@
   RunObserver observer() {
     return {.OnResult =
                 [this](PeerResult Result) { Results.put(std::move(Result)); },
-            .OnLost = [this](const Error &Reason, const auto &Ids) {
-              Losses.put({.Reason = Reason, .Ids = Ids});
-            }};
+            .OnLost =
+                [this](const Error &Reason, const auto &Ids) {
+                  Losses.put({.Reason = Reason, .Ids = Ids});
+                }};
   }
 };
 
