Freshness: whether this VM's configuration may still be served

A partitioned VM must stop serving an old configuration within the 5 s promised, yet a mere outage of the store must not stop anybody. The right to serve ends at a time which only replies move, counted from when their requests left. While the store is out, a majority of informed VMs extends it. Hearing any one peer was ruled out: both could be cut off while others accept a change. Counting silent VMs as gone was ruled out too: the smaller part of a partition would take itself for the whole, so they count for as long as the VM list names them.

--- /dev/null
+++ b/packages/coordination/src/coordination/freshness/Freshness.cpp
@@ -0,0 +1,97 @@
+#include "coordination/freshness/Freshness.h"
+
+#include "coordination/internal/Mutant.h"
+#include "core/invariant/Invariant.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace carawaypond {
+
+namespace {
+
+constexpr std::uint64_t NeverMillis = std::numeric_limits<std::uint32_t>::max();
+
+std::uint64_t toMillis(Milliseconds Span) {
+  return static_cast<std::uint64_t>(std::max(Span, Milliseconds(0)).count());
+}
+
+} // namespace
+
+bool Freshness::mayServe(TimePoint Now) const {
+  if (internal::isMutant(internal::Mutant::ServeUnconfirmed))
+    return isInformed();
+  return m_ServeUntil && Now <= *m_ServeUntil;
+}
+
+bool Freshness::maySubmit(std::optional<TimePoint> MajorityAsOf, bool IsAlone,
+                          TimePoint Now) const {
+  if (!mayServe(Now))
+    return false;
+  return IsAlone ||
+         (MajorityAsOf && Now - *MajorityAsOf <= m_Options.SubmitWindow);
+}
+
+void Freshness::fill(Digest &Out, TimePoint Now) const {
+  Out.StoreReachable = !isStoreSilent(Now);
+  Out.StoreAgeMillis =
+      m_StoreAsOf
+          ? toMillis(std::chrono::ceil<Milliseconds>(Now - *m_StoreAsOf))
+          : NeverMillis;
+  Out.ServeMillis =
+      m_ServeUntil
+          ? toMillis(std::chrono::floor<Milliseconds>(*m_ServeUntil - Now))
+          : 0;
+  Out.Informed = isInformed();
+}
+
+void Freshness::onStoreList(TimePoint SentAt, TimePoint Now) {
+  CARAWAYPOND_INVARIANT(SentAt <= Now, "a list came before it was asked for");
+  m_StoreAsOf = std::max(m_StoreAsOf.value_or(SentAt), SentAt);
+  extend(SentAt + m_Options.Bound);
+}
+
+void Freshness::onReply(const Digest &Reply, bool Covers, TimePoint SentAt,
+                        TimePoint Now) {
+  CARAWAYPOND_INVARIANT(SentAt <= Now, "a reply came before its request");
+  if (Reply.StoreAgeMillis < NeverMillis) {
+    TimePoint AsOf = SentAt - Milliseconds(Reply.StoreAgeMillis);
+    m_StoreAsOf = std::max(m_StoreAsOf.value_or(AsOf), AsOf);
+  }
+  if (!Covers) {
+    m_Uncovered[Reply.Sender.Name] = Now;
+    return;
+  }
+  m_Uncovered.erase(Reply.Sender.Name);
+  Milliseconds Left(std::min(Reply.ServeMillis, toMillis(m_Options.Bound)));
+  if (Left.count() > 0)
+    extend(SentAt + Left);
+}
+
+void Freshness::tick(std::optional<TimePoint> MajorityAsOf, TimePoint Now) {
+  std::erase_if(m_Uncovered, [&](const auto &Entry) {
+    return Now - Entry.second > m_Options.Bound;
+  });
+  if (!MajorityAsOf || Now - *MajorityAsOf > m_Options.Bound) {
+    m_MajoritySince.reset();
+    return;
+  }
+  bool HasLapsed = m_ServedAtTick && !mayServe(Now);
+  if (!m_MajoritySince || HasLapsed)
+    m_MajoritySince = Now;
+  m_ServedAtTick = mayServe(Now);
+  if (!isInformed() || !isStoreSilent(Now) || !m_Uncovered.empty())
+    return;
+  if (mayServe(Now) || Now - *m_MajoritySince >= m_Options.Settle)
+    extend(*MajorityAsOf + m_Options.Bound);
+}
+
+void Freshness::extend(TimePoint Until) {
+  m_ServeUntil = std::max(m_ServeUntil.value_or(Until), Until);
+}
+
+bool Freshness::isStoreSilent(TimePoint Now) const {
+  return !m_StoreAsOf || Now - *m_StoreAsOf > m_Options.StoreSilence;
+}
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/freshness/fwd.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace carawaypond {
+
+class Freshness;
+struct FreshnessOptions;
+
+} // namespace carawaypond
--- a/packages/coordination/src/coordination/membership/CentreTally.cpp
+++ b/packages/coordination/src/coordination/membership/CentreTally.cpp
@@ -23,16 +23,19 @@
 
 std::optional<TimePoint> CentreTally::majorityAsOf(std::size_t Total,
                                                    TimePoint Now) const {
+  if (!m_Informed)
+    return std::nullopt;
   std::vector<std::pair<TimePoint, std::size_t>> Heard = {{Now, 1}};
-  for (const auto &[Name, AsOf] : m_Peers)
-    Heard.emplace_back(AsOf, 1);
+  for (const auto &[Name, Known] : m_Peers)
+    if (Known.Informed)
+      Heard.emplace_back(Known.AsOf, 1);
   for (const auto &[Centre, Remote] : m_Remotes)
     Heard.emplace_back(Remote.AsOf, Remote.Heard);
   std::sort(Heard.begin(), Heard.end(), std::greater<>());
   std::size_t Sum = 0;
   for (const auto &[AsOf, Count] : Heard) {
     Sum += Count;
-    if (2 * Sum > Total)
+    if (2 * Sum > Total && Sum > 1)
       return std::min(AsOf, Now);
   }
   return std::nullopt;
@@ -45,7 +48,7 @@
   std::vector<TimePoint> Heard;
   for (const VmName &Peer : Peers)
     if (auto Found = m_Peers.find(Peer); Found != m_Peers.end())
-      Heard.push_back(Found->second);
+      Heard.push_back(Found->second.AsOf);
   if (Heard.size() < Count)
     return std::nullopt;
   std::sort(Heard.begin(), Heard.end(), std::greater<>());
@@ -62,12 +65,13 @@
 
 std::vector<CentreHeard> CentreTally::summary(TimePoint Now,
                                               Duration Window) const {
-  CentreHeard Own{.Centre = m_Own, .Heard = 1, .AgeMillis = 0};
-  for (const auto &[Name, AsOf] : m_Peers) {
-    if (Now - AsOf > Window)
+  CentreHeard Own{
+      .Centre = m_Own, .Heard = m_Informed ? 1U : 0U, .AgeMillis = 0};
+  for (const auto &[Name, Known] : m_Peers) {
+    if (!Known.Informed || Now - Known.AsOf > Window)
       continue;
     ++Own.Heard;
-    Own.AgeMillis = std::max(Own.AgeMillis, ageMillis(AsOf, Now));
+    Own.AgeMillis = std::max(Own.AgeMillis, ageMillis(Known.AsOf, Now));
   }
   std::vector<CentreHeard> All = {Own};
   for (const auto &[Centre, Remote] : m_Remotes)
@@ -79,8 +83,9 @@
 
 void CentreTally::onReply(const Digest &Reply, TimePoint SentAt) {
   if (Reply.Sender.Centre == m_Own && Reply.Sender.Name != m_Self) {
-    TimePoint &AsOf = m_Peers[Reply.Sender.Name];
-    AsOf = std::max(AsOf, SentAt);
+    Peer &Known = m_Peers[Reply.Sender.Name];
+    if (SentAt >= Known.AsOf)
+      Known = {.AsOf = SentAt, .Informed = Reply.Informed};
   }
   for (const CentreHeard &Told : Reply.Centres) {
     if (Told.Centre == m_Own)
--- a/packages/coordination/src/coordination/membership/CentreTally.h
+++ b/packages/coordination/src/coordination/membership/CentreTally.h
@@ -18,7 +18,8 @@
   CentreTally(VmName Self, DataCentre Own);
 
   /// @return The latest time as of which more than half of @p Total VMs were
-  /// heard, this one included; nothing when that many never were.
+  /// heard as informed, this one and at least one other among them; nothing
+  /// when that many never were.
   [[nodiscard]] std::optional<TimePoint> majorityAsOf(std::size_t Total,
                                                       TimePoint Now) const;
   /// @return The latest time as of which @p Count VMs of this data centre
@@ -34,9 +35,15 @@
 
   /// @brief Takes the evidence in a reply to a request sent at @p SentAt.
   void onReply(const Digest &Reply, TimePoint SentAt);
+  /// @brief Whether this VM counts as informed itself.
+  void setInformed(bool Informed) { m_Informed = Informed; }
   void forget(const VmName &Name) { m_Peers.erase(Name); }
 
 private:
+  struct Peer {
+    TimePoint AsOf;
+    bool Informed = false;
+  };
   struct RemoteCentre {
     std::uint32_t Heard = 0;
     TimePoint AsOf;
@@ -44,8 +51,9 @@
 
   VmName m_Self;
   DataCentre m_Own;
-  std::map<VmName, TimePoint> m_Peers;
+  std::map<VmName, Peer> m_Peers;
   std::map<DataCentre, RemoteCentre> m_Remotes;
+  bool m_Informed = false;
 };
 
 } // namespace carawaypond
--- a/packages/coordination/src/coordination/membership/Digest.h
+++ b/packages/coordination/src/coordination/membership/Digest.h
@@ -49,7 +49,7 @@
 /// @brief How many VMs of one data centre were heard, as known to the sender.
 struct CentreHeard {
   DataCentre Centre;
-  std::uint32_t Heard = 0;     ///< VMs of it that answered one of its VMs.
+  std::uint32_t Heard = 0;     ///< Informed VMs that answered one of its VMs.
   std::uint64_t AgeMillis = 0; ///< Upper bound of the time since all did.
 
   friend bool operator==(const CentreHeard &, const CentreHeard &) = default;
@@ -71,6 +71,7 @@
   bool StoreReachable = false;
   std::uint64_t StoreAgeMillis = 0; ///< Since the newest store read upstream.
   std::uint64_t ServeMillis = 0; ///< For how long the sender may still serve.
+  bool Informed = false; ///< Whether the sender ever might serve in this life.
 
   friend bool operator==(const Digest &, const Digest &) = default;
 };
--- a/packages/coordination/src/coordination/membership/Membership.cpp
+++ b/packages/coordination/src/coordination/membership/Membership.cpp
@@ -13,10 +13,6 @@
 
 constexpr std::uint32_t AnnouncementFactor = 3; // times log2 of the VMs
 
-bool mayServe(const VmRecord &Record) {
-  return Record.State == VmState::Live || Record.State == VmState::Suspect;
-}
-
 } // namespace
 
 Membership::Membership(MembershipOptions Options)
@@ -55,12 +51,30 @@
   return Known ? std::optional(*Known) : std::nullopt;
 }
 
-std::optional<TimePoint> Membership::majorityAsOf(TimePoint Now) const {
+bool Membership::mayStillRun(const VmRecord &Record) const {
+  if (Record.State == VmState::Live)
+    return true;
+  const Watch &Watched = m_Watches.at(Record.Name);
+  if (Record.State == VmState::Leaving || Watched.SaidLeaving)
+    return false;
+  bool HasLaterList =
+      m_ListedAt && Watched.SuspectedAt && *m_ListedAt > *Watched.SuspectedAt;
+  return !HasLaterList ||
+         std::any_of(m_Listed.begin(), m_Listed.end(), [&](const ListedVm &Vm) {
+           return Vm.Name == Record.Name;
+         });
+}
+
+std::size_t Membership::countOthers() const {
   const VmTable::Records &All = m_Table.records();
-  auto Others = std::count_if(All.begin(), All.end(), [](const auto &Entry) {
-    return mayServe(Entry.second);
+  auto Others = std::count_if(All.begin(), All.end(), [&](const auto &Entry) {
+    return mayStillRun(Entry.second);
   });
-  return m_Tally.majorityAsOf(static_cast<std::size_t>(Others) + 1, Now);
+  return static_cast<std::size_t>(Others);
+}
+
+std::optional<TimePoint> Membership::majorityAsOf(TimePoint Now) const {
+  return m_Tally.majorityAsOf(countOthers() + 1, Now);
 }
 
 std::optional<TimePoint> Membership::peersAsOf(TimePoint Now) const {
@@ -100,7 +114,8 @@
   for (const auto &[Name, Record] : m_Table.records()) {
     Watch &Watched = m_Watches[Name];
     judgeOne(Record, Watched, Now);
-    if (Record.State == VmState::Gone && Watched.SuspectedAt &&
+    if (Record.State == VmState::Gone && !mayStillRun(Record) &&
+        Watched.SuspectedAt &&
         Now - *Watched.SuspectedAt > m_Options.ForgetAfter)
       Forgotten.push_back(Name);
   }
@@ -288,8 +303,12 @@
       What != VmTable::Change::None && Record.State == VmState::Live;
   if (IsSameLife && (Direct || HasLaterHeartbeat))
     Watched.Arrivals.record(Now);
-  if (What == VmTable::Change::Notable)
+  if (What == VmTable::Change::Notable) {
     Watched.Announcements = announcements();
+    Watched.SaidLeaving =
+        Record.State == VmState::Leaving ||
+        (Watched.SaidLeaving && Record.State != VmState::Live);
+  }
   if (m_Table.find(Record.Name)->State == VmState::Live)
     Watched.SuspectedAt.reset();
 }
@@ -302,6 +321,7 @@
 
 void Membership::onVmList(const std::vector<ListedVm> &Listed, TimePoint Now) {
   m_Listed = Listed;
+  m_ListedAt = Now;
   for (const ListedVm &Vm : Listed) {
     if (Vm.Name == m_Self.Name || Vm.Leaving || m_Table.find(Vm.Name))
       continue;
--- a/packages/coordination/src/coordination/membership/Membership.h
+++ b/packages/coordination/src/coordination/membership/Membership.h
@@ -39,11 +39,15 @@
   /// @return Whether a later incarnation of this VM was heard; this one must
   /// stop.
   [[nodiscard]] bool isSuperseded() const { return m_Superseded; }
-  /// @return See CentreTally::majorityAsOf(), over all VMs that may serve.
+  /// @return See CentreTally::majorityAsOf(), over all VMs that may still run.
+  /// A silent VM counts for as long as the VM list names it, so that the
+  /// smaller part of a partitioned fleet never takes itself for the whole.
   [[nodiscard]] std::optional<TimePoint> majorityAsOf(TimePoint Now) const;
   /// @return The time as of which half of the live VMs of this data centre
   /// were heard; @p Now when there are none.
   [[nodiscard]] std::optional<TimePoint> peersAsOf(TimePoint Now) const;
+  /// @return Whether no other VM may still run.
+  [[nodiscard]] bool isAlone() const { return countOthers() == 0; }
   /// @return Changes of state so far, for a counter.
   [[nodiscard]] std::uint64_t suspicions() const { return m_Suspicions; }
 
@@ -59,6 +63,8 @@
   void onReply(const Digest &Heard, TimePoint SentAt, TimePoint Now);
   /// @brief Takes the VM list; it only adds VMs that were never heard of.
   void onVmList(const std::vector<ListedVm> &Listed, TimePoint Now);
+  /// @brief Tells whether this VM ever might serve in this life.
+  void setInformed(bool Informed) { m_Tally.setInformed(Informed); }
   /// @brief From now on this VM says that it is leaving.
   void leave();
 
@@ -66,6 +72,7 @@
   struct Watch {
     ArrivalHistory Arrivals;
     std::optional<TimePoint> SuspectedAt;
+    bool SaidLeaving = false;
     std::uint32_t Announcements = 0; ///< Digests that still carry the record.
   };
 
@@ -77,6 +84,8 @@
                               TimePoint Now) const;
   void conclude(const VmName &Name, Watch &Watched, VmState State);
   void skipPause(TimePoint Now);
+  [[nodiscard]] bool mayStillRun(const VmRecord &Record) const;
+  [[nodiscard]] std::size_t countOthers() const;
   [[nodiscard]] std::vector<VmName> livePeers() const;
   [[nodiscard]] std::vector<VmName>
   representatives(const DataCentre &Centre) const;
@@ -95,6 +104,7 @@
   std::map<VmName, Watch> m_Watches;
   std::optional<TimePoint> m_LastTick;
   std::vector<ListedVm> m_Listed;
+  std::optional<TimePoint> m_ListedAt;
   std::size_t m_ListedCursor = 0;
   VmName m_PeerCursor;
   DataCentre m_CentreCursor;
--- /dev/null
+++ b/packages/coordination/test/coordination/freshness/FreshnessTest.cpp
@@ -0,0 +1,90 @@
+#include "coordination/freshness/Freshness.h"
+
+#include <doctest/doctest.h>
+
+using namespace carawaypond;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::hours(1)};
+constexpr Milliseconds Second(1000);
+
+Digest servingPeer(std::uint64_t StoreAge, std::uint64_t Left) {
+  Digest Reply;
+  Reply.Sender.Name = VmName("peer");
+  Reply.StoreAgeMillis = StoreAge;
+  Reply.ServeMillis = Left;
+  Reply.Informed = true;
+  return Reply;
+}
+
+} // namespace
+
+TEST_CASE("a starting VM that reaches nobody does not serve") {
+  Freshness Own({});
+  Own.tick(std::nullopt, Start);
+  CHECK(!Own.mayServe(Start));
+}
+
+TEST_CASE("a list from the store counts from when it was asked for") {
+  Freshness Own({});
+  Own.onStoreList(Start, Start + 3 * Second);
+  CHECK(Own.mayServe(Start + 4 * Second));
+  CHECK(!Own.mayServe(Start + 4 * Second + Milliseconds(1)));
+}
+
+TEST_CASE("a peer passes on no more than its own right, if it is covered") {
+  Freshness Own({});
+  Own.onReply(servingPeer(1000, 3000), false, Start, Start);
+  CHECK(!Own.mayServe(Start));
+  Own.onReply(servingPeer(1000, 3000), true, Start, Start + Second);
+  CHECK(Own.mayServe(Start + 3 * Second));
+  CHECK(!Own.mayServe(Start + 3 * Second + Milliseconds(1)));
+}
+
+TEST_CASE("while the store is out a VM that hears a majority serves on") {
+  Freshness Own({});
+  Own.onStoreList(Start, Start);
+  TimePoint Now = Start;
+  for (; Now < Start + 60 * Second; Now += Milliseconds(500)) {
+    CHECK(Own.mayServe(Now));
+    Own.tick(Now - Second, Now);
+  }
+  TimePoint Lost = Now - Second;
+  for (; Now <= Lost + 4 * Second; Now += Milliseconds(500))
+    Own.tick(Lost, Now);
+  CHECK(!Own.mayServe(Now + Second));
+  Own.tick(Now, Now);
+  CHECK(!Own.mayServe(Now));
+  for (int I = 0; I < 7; ++I, Now += Milliseconds(500))
+    Own.tick(Now, Now);
+  CHECK(Own.mayServe(Now));
+}
+
+TEST_CASE("a VM that lacks what a peer holds does not serve on") {
+  Freshness Own({});
+  Own.onStoreList(Start, Start);
+  for (TimePoint Now = Start; Now < Start + 5 * Second;
+       Now += Milliseconds(500)) {
+    Own.onReply(servingPeer(9000, 0), false, Now, Now);
+    Own.tick(Now, Now);
+  }
+  CHECK(!Own.mayServe(Start + 5 * Second));
+}
+
+TEST_CASE("when all restarted while the store is out, nobody serves") {
+  Freshness Own({});
+  for (TimePoint Now = Start; Now < Start + 30 * Second; Now += Second) {
+    Own.onReply(servingPeer(4294967295U, 0), true, Now, Now);
+    Own.tick(Now, Now);
+    CHECK(!Own.mayServe(Now));
+  }
+}
+
+TEST_CASE("a submission needs a majority that was heard lately") {
+  Freshness Own({});
+  Own.onStoreList(Start, Start);
+  CHECK(Own.maySubmit(Start, false, Start + Second));
+  CHECK(!Own.maySubmit(Start, false, Start + 3 * Second));
+  CHECK(Own.maySubmit(std::nullopt, true, Start + Second));
+}
