--- /dev/null
+++ b/packages/coordination/src/coordination/addresses/fwd.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace carawaypond {
+
+class AddressBook;
+struct AddressAnswer;
+struct AddressBookOptions;
+struct AddressQuestion;
+
+} // namespace carawaypond
--- a/packages/coordination/src/coordination/membership/CentreTally.cpp
+++ b/packages/coordination/src/coordination/membership/CentreTally.cpp
@@ -27,7 +27,7 @@
     return std::nullopt;
   std::vector<std::pair<TimePoint, std::size_t>> Heard = {{Now, 1}};
   for (const auto &[Name, Known] : m_Peers)
-    if (Known.Informed)
+    if (Known.Informed && Known.SameCentre)
       Heard.emplace_back(Known.AsOf, 1);
   for (const auto &[Centre, Remote] : m_Remotes)
     Heard.emplace_back(Remote.AsOf, Remote.Heard);
@@ -41,16 +41,13 @@
   return std::nullopt;
 }
 
-std::optional<TimePoint>
-CentreTally::peersAsOf(const std::vector<VmName> &Peers,
-                       std::size_t Count) const {
-  CARAWAYPOND_INVARIANT(Count > 0, "asked when no peer at all was heard");
-  std::vector<TimePoint> Heard;
-  for (const VmName &Peer : Peers)
-    if (auto Found = m_Peers.find(Peer); Found != m_Peers.end())
-      Heard.push_back(Found->second.AsOf);
-  if (Heard.size() < Count)
+std::optional<TimePoint> CentreTally::directAsOf(std::size_t Count) const {
+  CARAWAYPOND_INVARIANT(Count > 0, "asked when no VM at all was heard");
+  if (m_Peers.size() < Count)
     return std::nullopt;
+  std::vector<TimePoint> Heard;
+  for (const auto &[Name, Known] : m_Peers)
+    Heard.push_back(Known.AsOf);
   std::sort(Heard.begin(), Heard.end(), std::greater<>());
   return Heard[Count - 1];
 }
@@ -68,7 +65,7 @@
   CentreHeard Own{
       .Centre = m_Own, .Heard = m_Informed ? 1U : 0U, .AgeMillis = 0};
   for (const auto &[Name, Known] : m_Peers) {
-    if (!Known.Informed || Now - Known.AsOf > Window)
+    if (!Known.Informed || !Known.SameCentre || Now - Known.AsOf > Window)
       continue;
     ++Own.Heard;
     Own.AgeMillis = std::max(Own.AgeMillis, ageMillis(Known.AsOf, Now));
@@ -82,11 +79,11 @@
 }
 
 void CentreTally::onReply(const Digest &Reply, TimePoint SentAt) {
-  if (Reply.Sender.Centre == m_Own && Reply.Sender.Name != m_Self) {
-    Peer &Known = m_Peers[Reply.Sender.Name];
-    if (SentAt >= Known.AsOf)
-      Known = {.AsOf = SentAt, .Informed = Reply.Informed};
-  }
+  Peer &Known = m_Peers[Reply.Sender.Name];
+  if (SentAt >= Known.AsOf)
+    Known = {.AsOf = SentAt,
+             .Informed = Reply.Informed,
+             .SameCentre = Reply.Sender.Centre == m_Own};
   for (const CentreHeard &Told : Reply.Centres) {
     if (Told.Centre == m_Own)
       continue;
--- a/packages/coordination/src/coordination/membership/CentreTally.h
+++ b/packages/coordination/src/coordination/membership/CentreTally.h
@@ -22,10 +22,9 @@
   /// when that many never were.
   [[nodiscard]] std::optional<TimePoint> majorityAsOf(std::size_t Total,
                                                       TimePoint Now) const;
-  /// @return The latest time as of which @p Count VMs of this data centre
-  /// among @p Peers were heard, this one not included.
-  [[nodiscard]] std::optional<TimePoint>
-  peersAsOf(const std::vector<VmName> &Peers, std::size_t Count) const;
+  /// @return The latest time as of which @p Count other VMs, of whatever data
+  /// centre, were heard directly.
+  [[nodiscard]] std::optional<TimePoint> directAsOf(std::size_t Count) const;
   /// @return When the data centre was last heard of, directly or not.
   [[nodiscard]] std::optional<TimePoint>
   centreAsOf(const DataCentre &Centre) const;
@@ -43,6 +42,7 @@
   struct Peer {
     TimePoint AsOf;
     bool Informed = false;
+    bool SameCentre = false;
   };
   struct RemoteCentre {
     std::uint32_t Heard = 0;
@@ -51,7 +51,7 @@
 
   VmName m_Self;
   DataCentre m_Own;
-  std::map<VmName, Peer> m_Peers;
+  std::map<VmName, Peer> m_Peers; ///< Those that answered this VM.
   std::map<DataCentre, RemoteCentre> m_Remotes;
   bool m_Informed = false;
 };
--- a/packages/coordination/src/coordination/membership/Membership.cpp
+++ b/packages/coordination/src/coordination/membership/Membership.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr std::size_t MaxWitnesses = 3;
 constexpr std::uint32_t AnnouncementFactor = 3; // times log2 of the VMs
 
 } // namespace
@@ -77,11 +78,13 @@
   return m_Tally.majorityAsOf(countOthers() + 1, Now);
 }
 
-std::optional<TimePoint> Membership::peersAsOf(TimePoint Now) const {
-  std::vector<VmName> Peers = livePeers();
-  if (Peers.empty())
+std::optional<TimePoint> Membership::directAsOf(TimePoint Now) const {
+  std::size_t Others = liveVms().size();
+  Others -= m_Self.State == VmState::Live ? 1 : 0;
+  if (Others == 0)
     return Now;
-  return m_Tally.peersAsOf(Peers, (Peers.size() + 1) / 2);
+  std::size_t Half = (livePeers().size() + 1) / 2;
+  return m_Tally.directAsOf(std::clamp<std::size_t>(Half, 1, MaxWitnesses));
 }
 
 std::vector<Contact> Membership::tick(TimePoint Now) {
--- a/packages/coordination/src/coordination/membership/Membership.h
+++ b/packages/coordination/src/coordination/membership/Membership.h
@@ -43,9 +43,9 @@
   /// A silent VM counts for as long as the VM list names it, so that the
   /// smaller part of a partitioned fleet never takes itself for the whole.
   [[nodiscard]] std::optional<TimePoint> majorityAsOf(TimePoint Now) const;
-  /// @return The time as of which half of the live VMs of this data centre
-  /// were heard; @p Now when there are none.
-  [[nodiscard]] std::optional<TimePoint> peersAsOf(TimePoint Now) const;
+  /// @return The time as of which a few other VMs answered this one, enough
+  /// to know what spreads; @p Now when no other VM is live.
+  [[nodiscard]] std::optional<TimePoint> directAsOf(TimePoint Now) const;
   /// @return Whether no other VM may still run.
   [[nodiscard]] bool isAlone() const { return countOthers() == 0; }
   /// @return Changes of state so far, for a counter.
