Randomised proofs of the four promises on traffic

One world of a coordinator, three owners, four backend servers and a network that reorders, loses, repeats and misroutes drives the library's own state machines; a checker that knows only what really ran judges the results. A checker per module was ruled out: the promises hold between modules.

--- /dev/null
+++ b/packages/coordination/proof/TrafficWorld.cpp
@@ -0,0 +1,376 @@
+#include "TrafficWorld.h"
+
+#include "ProofRegistry.h"
+
+#include <algorithm>
+#include <string>
+
+namespace carawaypond::proof {
+
+namespace {
+
+constexpr std::uint32_t OwnerCount = 3;
+constexpr std::uint32_t ServerCount = 4;
+constexpr std::uint32_t SlotsPerServer = 2;
+constexpr std::size_t ShardsOfFirstLayout = 3;
+constexpr std::size_t ReplicasPerShard = 2;
+constexpr std::size_t MaxLayouts = 4;
+constexpr std::size_t MaxDrainSteps = 20'000;
+constexpr std::uint32_t LongestPauseMs = 60;
+const ServiceName Service("claims");
+
+template <typename T> T &pickFrom(std::vector<T> &Items, std::uint32_t Pick) {
+  return Items[Pick % Items.size()];
+}
+
+VmName ownerName(std::uint32_t Number) {
+  return VmName("vm-" + std::to_string(Number));
+}
+
+std::shared_ptr<const RouteTable> makeRoutes() {
+  RouteTableOptions Options{.Unit = OwnerOfShard{},
+                            .Self = ownerName(0),
+                            .LiveVms = {},
+                            .Fallbacks = 2};
+  for (std::uint32_t I = 0; I < OwnerCount; ++I)
+    Options.LiveVms.push_back(ownerName(I));
+  return std::make_shared<const RouteTable>(std::move(Options));
+}
+
+IndexObject makeIndex() {
+  IndexObject Index;
+  Index.Name = Service.value();
+  for (std::uint32_t I = 0; I < ServerCount; ++I)
+    Index.Servers.push_back({.Name = ServerName("s-" + std::to_string(I)),
+                             .Address = "",
+                             .Centre = DataCentre("umea-a"),
+                             .Slots = SlotsPerServer,
+                             .Connections = SlotsPerServer,
+                             .Leaving = false});
+  return Index;
+}
+
+} // namespace
+
+TrafficWorld::TrafficWorld(TrafficPromise Promise)
+    : m_Now(std::chrono::hours(1)),
+      m_Pinner(std::make_unique<SnapshotPinner>(makeIndex())),
+      m_Routes(makeRoutes()), m_Checker(Promise) {
+  for (std::uint32_t I = 0; I < OwnerCount; ++I)
+    m_Owners.push_back(std::make_unique<OwnerModel>(ownerName(I)));
+  for (const ServerInfo &Info : m_Pinner->index().Servers) {
+    m_Servers.emplace_back(Info.Name);
+    for (auto &Owner : m_Owners)
+      Owner->slots().setSlots(Info.Name, Info.Slots);
+  }
+  addLayout();
+  for (ServerModel &Server : m_Servers) {
+    Server.catchUp(m_Newest);
+    reportStatus(Server);
+  }
+}
+
+/// Adds a layout with one more shard, which holds from the next version on.
+void TrafficWorld::addLayout() {
+  IndexObject Index = m_Pinner->index();
+  std::size_t Number = Index.Layouts.size() + 1;
+  IndexVersion From(Number == 1 ? 0 : m_Newest.value() + 1);
+  IndexLayout Layout{.Layout = Number, .FromVersion = From, .Shards = {}};
+  std::size_t Shards = ShardsOfFirstLayout + Number - 1;
+  for (std::size_t I = 0; I < Shards; ++I) {
+    ShardReplicas Shard{.Shard = ShardId(static_cast<std::uint32_t>(I)),
+                        .Replicas = {}};
+    for (std::size_t R = 0; R < ReplicasPerShard; ++R) {
+      ServerModel &Server = m_Servers[(I + R + Number) % m_Servers.size()];
+      Server.holdShard(Number, Shard.Shard);
+      Shard.Replicas.push_back(Server.name());
+    }
+    Layout.Shards.push_back(std::move(Shard));
+  }
+  Index.Layouts.push_back(std::move(Layout));
+  ++Index.ObjectVersion;
+  m_Pinner->setIndex(std::move(Index));
+  m_Newest = std::max(m_Newest, From);
+}
+
+OwnerModel &TrafficWorld::owner(const VmName &Name) {
+  return **std::find_if(m_Owners.begin(), m_Owners.end(),
+                        [&](auto &Each) { return Each->name() == Name; });
+}
+
+ServerModel &TrafficWorld::server(const ServerName &Name) {
+  return *std::find_if(m_Servers.begin(), m_Servers.end(),
+                       [&](auto &Each) { return Each.name() == Name; });
+}
+
+void TrafficWorld::post(std::vector<Message> Messages) {
+  for (Message &Each : Messages)
+    m_Messages.push_back(std::move(Each));
+}
+
+void TrafficWorld::act(std::size_t Query, QueryActions Actions) {
+  for (QueryAction &Action : Actions) {
+    if (auto *Send = std::get_if<SendSubrequest>(&Action))
+      m_Messages.emplace_back(ToOwner{.Owner = Send->Owner,
+                                      .Query = Query,
+                                      .Request = std::move(Send->Request)});
+    if (auto *Cancel = std::get_if<CancelSubrequest>(&Action))
+      m_Messages.emplace_back(
+          CancelToOwner{.Owner = Cancel->Owner, .Id = Cancel->Id});
+    if (auto *Finish = std::get_if<FinishQuery>(&Action))
+      m_Checker.onResult(Query, Finish->Result, m_Pinner->index());
+  }
+}
+
+void TrafficWorld::newQuery(std::uint32_t Pick) {
+  std::size_t Number = m_Queries.size();
+  bool Repeatable = Pick % 3 != 0;
+  Query Asked{.Service = Service,
+              .Class = ClassName(Pick % 2 == 0 ? "interactive" : "sweep"),
+              .Deadline = m_Now + Milliseconds(20 + Pick % 200),
+              .Repeatable = Repeatable,
+              .Request =
+                  std::make_shared<const std::string>(std::to_string(Number))};
+  QueryResources Resources{.Pinner = *m_Pinner,
+                           .Routes = m_Routes,
+                           .Budget = m_Budget,
+                           .Ids = m_Ids};
+  m_Checker.onAsked(Repeatable);
+  m_Queries.push_back(std::make_unique<QueryRun>(std::move(Asked), Resources,
+                                                 QueryRunOptions{}));
+  act(Number, m_Queries.back()->start(m_Now));
+}
+
+void TrafficWorld::receive(const ToOwner &Arrived) {
+  const IndexLayout *Layout =
+      m_Pinner->index().findLayout(Arrived.Request.Layout);
+  auto Shard = std::find_if(Layout->Shards.begin(), Layout->Shards.end(),
+                            [&](const ShardReplicas &Each) {
+                              return Each.Shard == Arrived.Request.Shard;
+                            });
+  post(owner(Arrived.Owner).enqueue(Arrived, Shard->Replicas, m_Now));
+}
+
+void TrafficWorld::receive(const CancelToOwner &Arrived) {
+  post(owner(Arrived.Owner).cancel(Arrived.Id, m_Now));
+}
+
+void TrafficWorld::receive(const ToCoordinator &Arrived) {
+  act(Arrived.Query, m_Queries[Arrived.Query]->onEnded(Arrived.Ended, m_Now));
+}
+
+void TrafficWorld::receive(const OwnerLost &Arrived) {
+  act(Arrived.Query, m_Queries[Arrived.Query]->onOwnerLost(
+                         Arrived.Id, Arrived.MaySent, m_Now));
+}
+
+void TrafficWorld::receive(const ToServer &Arrived) {
+  std::optional<FromServer> Refusal =
+      server(Arrived.Send.Server).receive(Arrived, m_Now);
+  if (Refusal)
+    m_Messages.emplace_back(*std::move(Refusal));
+  else
+    m_Checker.onRun(Arrived.Send.Request);
+}
+
+void TrafficWorld::receive(const CancelToServer & /*Arrived*/) {
+  // A running subrequest goes on; its answer arrives late.
+}
+
+void TrafficWorld::receive(const FromServer &Arrived) {
+  post(owner(Arrived.Owner).onAnswer(Arrived, m_Now));
+}
+
+void TrafficWorld::receive(const AttemptLost &Arrived) {
+  post(owner(Arrived.Owner).onLost(Arrived.Attempt, m_Now));
+}
+
+void TrafficWorld::deliver(std::size_t Place, bool Keep) {
+  Message Arrived = m_Messages[Place];
+  bool IsAnswer = std::holds_alternative<ToCoordinator>(Arrived) ||
+                  std::holds_alternative<FromServer>(Arrived);
+  if (!Keep || !IsAnswer)
+    m_Messages.erase(m_Messages.begin() + static_cast<std::ptrdiff_t>(Place));
+  ++m_Events;
+  std::visit([&](const auto &Each) { receive(Each); }, Arrived);
+}
+
+/// Replaces a message by the news, some time, that it may be lost.
+void TrafficWorld::lose(std::size_t Place) {
+  Message &Lost = m_Messages[Place];
+  if (const auto *Sent = std::get_if<ToOwner>(&Lost))
+    Lost = OwnerLost{
+        .Query = Sent->Query, .Id = Sent->Request.Id, .MaySent = true};
+  else if (const auto *Ended = std::get_if<ToCoordinator>(&Lost))
+    Lost = OwnerLost{
+        .Query = Ended->Query, .Id = Ended->Ended.Id, .MaySent = true};
+  else if (const auto *Attempt = std::get_if<ToServer>(&Lost))
+    Lost =
+        AttemptLost{.Owner = Attempt->Owner, .Attempt = Attempt->Send.Attempt};
+  else if (const auto *Answer = std::get_if<FromServer>(&Lost))
+    Lost = AttemptLost{.Owner = Answer->Owner, .Attempt = Answer->Attempt};
+}
+
+void TrafficWorld::failToConnect(std::size_t Place) {
+  Message &Unsent = m_Messages[Place];
+  if (const auto *Sent = std::get_if<ToOwner>(&Unsent))
+    Unsent = OwnerLost{
+        .Query = Sent->Query, .Id = Sent->Request.Id, .MaySent = false};
+  else if (const auto *Attempt = std::get_if<ToServer>(&Unsent))
+    Unsent = FromServer{
+        .Owner = Attempt->Owner,
+        .Attempt = Attempt->Send.Attempt,
+        .Answer = ServerRefusal{
+            .Reason = SubReason::NotConnected, .Ran = false, .Served = {}}};
+}
+
+/// Hands a copy of an answer to whom it is not for.
+void TrafficWorld::misroute(std::size_t Place, std::uint32_t Pick) {
+  Message Copy = m_Messages[Place];
+  if (auto *Ended = std::get_if<ToCoordinator>(&Copy)) {
+    std::size_t Other = Pick % m_Queries.size();
+    if (Other == Ended->Query)
+      return;
+    Ended->Query = Other;
+    receive(*Ended);
+  }
+}
+
+void TrafficWorld::endRun(ServerModel &Server, std::uint32_t Pick,
+                          StepKind How) {
+  if (Server.idle())
+    return;
+  RunningAttempt Ended = Server.takeRunning(Pick);
+  const Subrequest &Request = Ended.Send.Request;
+  FromServer Reply{.Owner = Ended.Owner,
+                   .Attempt = Ended.Send.Attempt,
+                   .Answer = ServerRefusal{
+                       .Reason = SubReason::Failed, .Ran = true, .Served = {}}};
+  if (How != StepKind::FailRun) {
+    bool IsOther = How == StepKind::AnswerOther;
+    RanRecord Ran{.Query = std::stoul(*Request.Request),
+                  .Shard = Request.Shard,
+                  .Version =
+                      IsOther ? Server.newestFor(Request) : Request.Version,
+                  .Layout = Request.Layout};
+    Reply.Answer = SubAnswered{.Version = Ran.Version,
+                               .Layout = Ran.Layout,
+                               .Payload = Ran.toPayload()};
+  }
+  m_Messages.emplace_back(std::move(Reply));
+}
+
+void TrafficWorld::reportStatus(const ServerModel &Server) {
+  for (const ReplicaVersions &Status : Server.status()) {
+    m_Pinner->board().noteStatus(Status, m_Now);
+    for (auto &Owner : m_Owners)
+      Owner->versions().noteStatus(Status, m_Now);
+  }
+}
+
+void TrafficWorld::setState(const ServerName &Server, ServerState State) {
+  m_Pinner->board().setState(Server, State);
+  for (auto &Owner : m_Owners) {
+    Owner->slots().setState(Server, State);
+    post(Owner->onServersChanged(m_Now));
+  }
+}
+
+void TrafficWorld::tickAll() {
+  for (std::size_t I = 0; I < m_Queries.size(); ++I)
+    act(I, m_Queries[I]->tick(m_Now));
+  for (auto &Owner : m_Owners)
+    post(Owner->tick(m_Now));
+}
+
+void TrafficWorld::apply(const Step &Next) {
+  ++m_Events;
+  ServerModel &Server = pickFrom(m_Servers, Next.Pick);
+  std::size_t Place = m_Messages.empty() ? 0 : Next.Pick % m_Messages.size();
+  bool AnyMessage = !m_Messages.empty();
+  switch (Next.Kind) {
+  case StepKind::NewQuery:
+    return newQuery(Next.Pick);
+  case StepKind::Deliver:
+    return AnyMessage ? deliver(Place, false) : void();
+  case StepKind::DeliverTwice:
+    return AnyMessage ? deliver(Place, true) : void();
+  case StepKind::Lose:
+    return AnyMessage ? lose(Place) : void();
+  case StepKind::FailToConnect:
+    return AnyMessage ? failToConnect(Place) : void();
+  case StepKind::Misroute:
+    return AnyMessage ? misroute(Place, Next.Pick / 7) : void();
+  case StepKind::RunToEnd:
+  case StepKind::AnswerOther:
+  case StepKind::FailRun:
+    return endRun(Server, Next.Pick / ServerCount, Next.Kind);
+  case StepKind::Shed:
+    return Server.shedNext();
+  case StepKind::Advance:
+    m_Now += Milliseconds(1 + Next.Pick % LongestPauseMs);
+    return;
+  case StepKind::Tick:
+    return tickAll();
+  case StepKind::PublishVersion:
+    m_Newest = IndexVersion(m_Newest.value() + 1);
+    return;
+  case StepKind::ServerCatchesUp:
+    return Server.catchUp(m_Newest);
+  case StepKind::ServerWithdraws:
+    return Server.withdraw(m_Newest);
+  case StepKind::Repartition:
+    return m_Pinner->index().Layouts.size() < MaxLayouts ? addLayout() : void();
+  case StepKind::ReportStatus:
+    return reportStatus(Server);
+  case StepKind::ServerLeaves:
+    Server.setLeaving(true);
+    return setState(Server.name(), ServerState::Leaving);
+  case StepKind::ServerFails:
+    return setState(Server.name(), ServerState::Down);
+  case StepKind::ServerReturns:
+    Server.setLeaving(false);
+    return setState(Server.name(), ServerState::Up);
+  case StepKind::CallerCancels:
+    if (!m_Queries.empty()) {
+      std::size_t Query = Next.Pick % m_Queries.size();
+      act(Query, m_Queries[Query]->cancel(m_Now));
+    }
+    return;
+  }
+}
+
+void TrafficWorld::drain() {
+  auto IsIdle = [](const ServerModel &Server) { return Server.idle(); };
+  for (std::size_t I = 0; I < MaxDrainSteps; ++I) {
+    if (m_Messages.empty() &&
+        std::all_of(m_Servers.begin(), m_Servers.end(), IsIdle) &&
+        std::all_of(m_Queries.begin(), m_Queries.end(),
+                    [](const auto &Run) { return Run->finished(); }))
+      break;
+    if (!m_Messages.empty())
+      deliver(0, false);
+    for (ServerModel &Server : m_Servers)
+      endRun(Server, 0, StepKind::RunToEnd);
+    m_Now += Milliseconds(1);
+    tickAll();
+  }
+  m_Checker.onEnd();
+}
+
+void proveInTraffic(ProofContext &Context, TrafficPromise Promise,
+                    const std::string &Description) {
+  Context.forAll(Description, [&Context, Promise] {
+    std::vector<Step> Steps = *steps();
+    TrafficWorld World(Promise);
+    for (const Step &Next : Steps)
+      World.apply(Next);
+    World.drain();
+    Context.countEvents(World.events());
+    const std::vector<std::string> &Violations = World.checker().violations();
+    if (!Violations.empty())
+      RC_FAIL(Violations.front());
+  });
+}
+
+} // namespace carawaypond::proof
--- /dev/null
+++ b/packages/coordination/proof/TrafficWorld.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "Messages.h"
+#include "OwnerModel.h"
+#include "ResultChecker.h"
+#include "ServerModel.h"
+#include "Step.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace carawaypond::proof {
+
+class ProofContext;
+
+/// @brief One coordinator, its owners, backend servers and the network between
+/// them, driven by random steps. It keeps what really ran, for the checker.
+class TrafficWorld {
+public:
+  explicit TrafficWorld(TrafficPromise Promise);
+
+  [[nodiscard]] const ResultChecker &checker() const { return m_Checker; }
+  [[nodiscard]] std::uint64_t events() const { return m_Events; }
+
+  void apply(const Step &Next);
+  /// @brief Lets time pass and everything arrive, until nothing is left.
+  void drain();
+
+private:
+  void addLayout();
+  void newQuery(std::uint32_t Pick);
+  void deliver(std::size_t Place, bool Keep);
+  void lose(std::size_t Place);
+  void failToConnect(std::size_t Place);
+  void misroute(std::size_t Place, std::uint32_t Pick);
+  void endRun(ServerModel &Server, std::uint32_t Pick, StepKind How);
+  void reportStatus(const ServerModel &Server);
+  void setState(const ServerName &Server, ServerState State);
+  void tickAll();
+
+  void receive(const ToOwner &Arrived);
+  void receive(const CancelToOwner &Arrived);
+  void receive(const ToCoordinator &Arrived);
+  void receive(const OwnerLost &Arrived);
+  void receive(const ToServer &Arrived);
+  void receive(const CancelToServer &Arrived);
+  void receive(const FromServer &Arrived);
+  void receive(const AttemptLost &Arrived);
+
+  void act(std::size_t Query, QueryActions Actions);
+  void post(std::vector<Message> Messages);
+  OwnerModel &owner(const VmName &Name);
+  ServerModel &server(const ServerName &Name);
+
+  TimePoint m_Now;
+  std::uint64_t m_Events = 0;
+  IndexVersion m_Newest{1};
+  std::unique_ptr<SnapshotPinner> m_Pinner;
+  std::shared_ptr<const RouteTable> m_Routes;
+  ExtraLoadBudget m_Budget{{.Ratio = 0.3, .Burst = 10}};
+  SerialIds<SubrequestId> m_Ids;
+  std::vector<std::unique_ptr<OwnerModel>> m_Owners;
+  std::vector<ServerModel> m_Servers;
+  std::vector<std::unique_ptr<QueryRun>> m_Queries;
+  std::vector<Message> m_Messages;
+  ResultChecker m_Checker;
+};
+
+/// @brief Tries random worlds for one promise.
+void proveInTraffic(ProofContext &Context, TrafficPromise Promise,
+                    const std::string &Description);
+
+} // namespace carawaypond::proof
--- a/packages/coordination/src/coordination/admission/AdmissionControl.cpp
+++ b/packages/coordination/src/coordination/admission/AdmissionControl.cpp
@@ -11,7 +11,9 @@
 /// How long after its last query a class keeps its part for itself.
 constexpr auto ClassActiveFor = std::chrono::seconds(1);
 /// A reported wait counts in full at first, and not at all after this time.
-constexpr auto WaitKnownFor = Milliseconds(200);
+constexpr Duration WaitKnownFor = Milliseconds(200);
+/// A longer reported wait counts as this.
+constexpr Duration MaxWait = std::chrono::seconds(30);
 
 } // namespace
 
@@ -39,14 +41,16 @@
   Duration Age = Now - m_WaitAt;
   if (m_Wait == Duration::zero() || Age >= WaitKnownFor)
     return Duration::zero();
-  return m_Wait;
+  double Kept = std::chrono::duration<double>(WaitKnownFor - Age) /
+                std::chrono::duration<double>(WaitKnownFor);
+  return std::chrono::duration_cast<Duration>(m_Wait * Kept);
 }
 
 void AdmissionControl::noteExpectedWait(Duration Wait, TimePoint Now) {
   bool IsLonger = Wait >= expectedWait(Now);
   if (!IsLonger)
     return;
-  m_Wait = Wait;
+  m_Wait = std::min(Wait, MaxWait);
   m_WaitAt = Now;
 }
 
--- a/packages/coordination/src/coordination/query/QueryRun.cpp
+++ b/packages/coordination/src/coordination/query/QueryRun.cpp
@@ -1,6 +1,7 @@
 #include "coordination/query/QueryRun.h"
 
 #include "coordination/internal/Mutant.h"
+#include "coordination/query/QueryEnd.h"
 #include "core/invariant/Invariant.h"
 
 #include <algorithm>
@@ -116,7 +117,8 @@
   std::size_t Place = m_Shards.size();
   ShardRun &Shard = m_Shards.emplace_back();
   Shard.Id = Pinned.Replicas.Shard;
-  Shard.Routes = m_Resources.Routes.routesFor(m_Query.Service, Pinned.Replicas);
+  Shard.Routes =
+      m_Resources.Routes->routesFor(m_Query.Service, Pinned.Replicas);
   if (!Pinned.Reachable) {
     giveUp(Shard, SubReason::NoReplica);
   } else if (Shard.Routes.empty()) {
@@ -382,56 +384,19 @@
   finish(result(), Out);
 }
 
-bool QueryRun::mayHaveRun() const {
-  return m_PossiblyRun > 0 && !isMutant(Mutant::DoubtIsNotRun);
-}
-
 QueryResult QueryRun::result() const {
-  std::vector<ShardAnswer> Answers;
-  std::vector<MissingShard> Missing;
+  QueryEnd End{.Pinned = *m_Pinned,
+               .Answers = {},
+               .Missing = {},
+               .Repeatable = m_Query.Repeatable,
+               .PossiblyRun = m_PossiblyRun};
   for (const ShardRun &Shard : m_Shards) {
     if (Shard.Answer)
-      Answers.push_back(*Shard.Answer);
+      End.Answers.push_back(*Shard.Answer);
     else if (!isMutant(Mutant::CoverageFromAnswers))
-      Missing.push_back({.Shard = Shard.Id, .Reason = Shard.Reason});
+      End.Missing.push_back({.Shard = Shard.Id, .Reason = Shard.Reason});
   }
-  CARAWAYPOND_INVARIANT(isMutant(Mutant::CoverageFromAnswers) ||
-                            Answers.size() + Missing.size() ==
-                                m_Pinned->Shards.size(),
-                        "coverage does not add up to the layout's shards");
-  for (const ShardAnswer &Answer : Answers)
-    CARAWAYPOND_INVARIANT(isMutant(Mutant::MixVersions) ||
-                              (Answer.Version == m_Pinned->Version &&
-                               Answer.Layout == m_Pinned->Layout),
-                          "a result of more than one version");
-  if (!Missing.empty() || Answers.empty())
-    return resultWithoutAll(std::move(Answers), std::move(Missing));
-  return QueryComplete{.Version = m_Pinned->Version,
-                       .Layout = m_Pinned->Layout,
-                       .Answers = std::move(Answers)};
-}
-
-/// The outcome when not every shard answered.
-QueryResult
-QueryRun::resultWithoutAll(std::vector<ShardAnswer> Answers,
-                           std::vector<MissingShard> Missing) const {
-  SubReason Reason =
-      Missing.empty() ? SubReason::NoSnapshot : Missing.front().Reason;
-  // A send that is not repeatable and brought no answer is in doubt unless it
-  // is known not to have run.
-  bool IsInDoubt = m_Query.Repeatable
-                       ? Answers.empty() && mayHaveRun()
-                       : mayHaveRun() && m_PossiblyRun > Answers.size();
-  if (IsInDoubt)
-    return QueryUnknown{.Reason = Reason};
-  if (!Answers.empty())
-    return QueryPartial{.Version = m_Pinned->Version,
-                        .Layout = m_Pinned->Layout,
-                        .Answers = std::move(Answers),
-                        .Missing = std::move(Missing)};
-  CARAWAYPOND_INVARIANT(isMutant(Mutant::DoubtIsNotRun) || m_PossiblyRun == 0,
-                        "\"not run\" for a query that may have run");
-  return QueryNotRun{.Reason = Reason};
+  return conclude(std::move(End));
 }
 
 void QueryRun::finish(QueryResult Result, QueryActions &Out) {
--- a/packages/coordination/src/coordination/query/QueryRun.h
+++ b/packages/coordination/src/coordination/query/QueryRun.h
@@ -37,7 +37,7 @@
 /// @brief What queries of one service at one VM share; each must outlive them.
 struct QueryResources {
   SnapshotPinner &Pinner;
-  const RouteTable &Routes;
+  std::shared_ptr<const RouteTable> Routes;
   ExtraLoadBudget &Budget;
   SerialIds<SubrequestId> &Ids;
 };
@@ -113,14 +113,10 @@
   /// @brief Applies one outcome to the send that it is for.
   struct OutcomeVisitor;
 
-  [[nodiscard]] bool mayHaveRun() const;
   [[nodiscard]] bool hasOutstanding(const ShardRun &Shard) const;
   [[nodiscard]] bool mayReroute(const ShardRun &Shard, TimePoint Now) const;
   [[nodiscard]] bool isPinned(const SubAnswered &Answer) const;
   [[nodiscard]] QueryResult result() const;
-  [[nodiscard]] QueryResult
-  resultWithoutAll(std::vector<ShardAnswer> Answers,
-                   std::vector<MissingShard> Missing) const;
 
   Send *findSend(const SubrequestEnded &Event);
   void setState(Send &Sent, SendState State);
--- a/packages/coordination/src/coordination/query/fwd.h
+++ b/packages/coordination/src/coordination/query/fwd.h
@@ -8,6 +8,7 @@
 struct MissingShard;
 struct Query;
 struct QueryComplete;
+struct QueryEnd;
 struct QueryNotRun;
 struct QueryPartial;
 struct QueryUnknown;
--- /dev/null
+++ b/packages/coordination/src/coordination/queue/ReplicaChoice.cpp
@@ -0,0 +1,90 @@
+#include "coordination/queue/ReplicaChoice.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carawaypond {
+
+namespace {
+
+bool contains(const std::vector<ServerName> &Servers, const ServerName &Name) {
+  return std::find(Servers.begin(), Servers.end(), Name) != Servers.end();
+}
+
+int rankOf(Serves Known) {
+  if (Known == Serves::Yes)
+    return 0;
+  return Known == Serves::Unknown ? 1 : 2;
+}
+
+} // namespace
+
+ReplicaChoice::ReplicaChoice(std::vector<ServerName> Replicas,
+                             const ServerSlots &Slots,
+                             const ReplicaScores &Scores,
+                             const VersionBoard &Versions)
+    : m_Replicas(std::move(Replicas)), m_Slots(Slots), m_Scores(Scores),
+      m_Versions(Versions) {}
+
+std::uint32_t ReplicaChoice::usableSlots() const {
+  std::uint32_t Slots = 0;
+  for (const ServerName &Server : m_Replicas)
+    if (m_Slots.stateOf(Server) == ServerState::Up)
+      Slots += m_Slots.slots(Server);
+  return Slots;
+}
+
+bool ReplicaChoice::hasFreeSlot() const {
+  return std::any_of(
+      m_Replicas.begin(), m_Replicas.end(),
+      [&](const ServerName &Server) { return m_Slots.hasFree(Server); });
+}
+
+bool ReplicaChoice::anyCandidate(const internal::QueueEntry &E) const {
+  return !candidates(E).empty();
+}
+
+/// Replicas that may get the entry, of those the ones that best serve its
+/// version; whether a slot is free does not count.
+std::vector<ServerName>
+ReplicaChoice::candidates(const internal::QueueEntry &E) const {
+  constexpr int WorstRank = 3;
+  std::vector<ServerName> Best;
+  int BestRank = WorstRank;
+  for (const ServerName &Server : m_Replicas) {
+    if (contains(E.Tried, Server) || m_Slots.stateOf(Server) != ServerState::Up)
+      continue;
+    int Rank = rankOf(m_Versions.serves(Server, E.Request.Shard,
+                                        E.Request.Layout, E.Request.Version));
+    if (Rank > BestRank)
+      continue;
+    if (Rank < BestRank)
+      Best.clear();
+    BestRank = Rank;
+    Best.push_back(Server);
+  }
+  return Best;
+}
+
+std::optional<ServerName>
+ReplicaChoice::chooseFree(const internal::QueueEntry &E, TimePoint Now) const {
+  std::optional<ServerName> Chosen;
+  Duration Least = Duration::max();
+  for (const ServerName &Server : candidates(E)) {
+    if (!m_Slots.hasFree(Server))
+      continue;
+    Duration Expected = m_Scores.expected(Server, Now) *
+                        (m_Slots.inUse(Server) + 1) / m_Slots.slots(Server);
+    if (Expected >= Least)
+      continue;
+    Least = Expected;
+    Chosen = Server;
+  }
+  return Chosen;
+}
+
+void ReplicaChoice::setReplicas(std::vector<ServerName> Replicas) {
+  m_Replicas = std::move(Replicas);
+}
+
+} // namespace carawaypond
--- a/packages/coordination/src/coordination/queue/ReplicaSetQueue.cpp
+++ b/packages/coordination/src/coordination/queue/ReplicaSetQueue.cpp
@@ -15,21 +15,13 @@
 constexpr double TypicalQuantile = 0.5;
 constexpr Duration DefaultService = Milliseconds(5);
 
-bool contains(const std::vector<ServerName> &Servers, const ServerName &Name) {
-  return std::find(Servers.begin(), Servers.end(), Name) != Servers.end();
-}
-
-int rankOf(Serves Known) {
-  if (Known == Serves::Yes)
-    return 0;
-  return Known == Serves::Unknown ? 1 : 2;
-}
-
 } // namespace
 
 ReplicaSetQueue::ReplicaSetQueue(ReplicaSetQueueOptions Options,
                                  QueueResources Resources)
     : m_Options(std::move(Options)), m_Resources(Resources),
+      m_Choice(m_Options.Replicas, Resources.Slots, Resources.Scores,
+               Resources.Versions),
       m_Scheduler(m_Options.Classes) {}
 
 std::optional<TimePoint> ReplicaSetQueue::nextWake() const {
@@ -44,16 +36,9 @@
 
 Duration ReplicaSetQueue::expectedWait(const ClassName &Class,
                                        TimePoint Now) const {
-  std::uint32_t Slots = 0;
-  bool AnyFree = false;
-  for (const ServerName &Server : m_Options.Replicas) {
-    if (m_Resources.Slots.stateOf(Server) != ServerState::Up)
-      continue;
-    Slots += m_Resources.Slots.slots(Server);
-    AnyFree = AnyFree || m_Resources.Slots.hasFree(Server);
-  }
-  if (waiting() == 0 && AnyFree)
+  if (waiting() == 0 && m_Choice.hasFreeSlot())
     return Duration::zero();
+  std::uint32_t Slots = m_Choice.usableSlots();
   if (Slots == 0)
     return Duration::max();
   Duration Service = m_Resources.Latencies.quantile(Class, TypicalQuantile, Now)
@@ -61,46 +46,6 @@
   return Service * (waiting() + 1) / Slots;
 }
 
-/// Replicas that may get the entry, of those the ones that best serve its
-/// version; whether a slot is free does not count.
-std::vector<ServerName> ReplicaSetQueue::candidates(const Entry &E) const {
-  constexpr int WorstRank = 3;
-  std::vector<ServerName> Best;
-  int BestRank = WorstRank;
-  for (const ServerName &Server : m_Options.Replicas) {
-    if (contains(E.Tried, Server) ||
-        m_Resources.Slots.stateOf(Server) != ServerState::Up)
-      continue;
-    int Rank = rankOf(m_Resources.Versions.serves(
-        Server, E.Request.Shard, E.Request.Layout, E.Request.Version));
-    if (Rank > BestRank)
-      continue;
-    if (Rank < BestRank)
-      Best.clear();
-    BestRank = Rank;
-    Best.push_back(Server);
-  }
-  return Best;
-}
-
-std::optional<ServerName> ReplicaSetQueue::chooseFree(const Entry &E,
-                                                      TimePoint Now) const {
-  std::optional<ServerName> Chosen;
-  Duration Least = Duration::max();
-  for (const ServerName &Server : candidates(E)) {
-    if (!m_Resources.Slots.hasFree(Server))
-      continue;
-    Duration Expected = m_Resources.Scores.expected(Server, Now) *
-                        (m_Resources.Slots.inUse(Server) + 1) /
-                        m_Resources.Slots.slots(Server);
-    if (Expected >= Least)
-      continue;
-    Least = Expected;
-    Chosen = Server;
-  }
-  return Chosen;
-}
-
 /// Whether the entry would miss its deadline even if it were sent at once,
 /// while others wait for the slot.
 bool ReplicaSetQueue::isHopeless(const Entry &E, TimePoint Now) const {
@@ -128,7 +73,7 @@
   E.Waiting = true;
   m_Deadlines.emplace(E.Request.Deadline, Id);
   m_Scheduler.push(E.Request.Class, E.Request.Deadline, Id);
-  if (candidates(E).empty())
+  if (!m_Choice.anyCandidate(E))
     complete(Id, SubNotRun{.Reason = SubReason::NoReplica}, Out);
   pump(Now, Out);
   return Out;
@@ -256,7 +201,7 @@
 
 bool ReplicaSetQueue::retry(Entry &E, TimePoint Now) {
   bool IsAllowed = E.Request.Repeatable || !E.MayHaveRun;
-  if (!IsAllowed || E.Request.Deadline <= Now || candidates(E).empty())
+  if (!IsAllowed || E.Request.Deadline <= Now || !m_Choice.anyCandidate(E))
     return false;
   if (!m_Resources.Budget.trySpend())
     return false;
@@ -286,7 +231,7 @@
 
 QueueActions ReplicaSetQueue::setReplicas(std::vector<ServerName> Replicas,
                                           TimePoint Now) {
-  m_Options.Replicas = std::move(Replicas);
+  m_Choice.setReplicas(std::move(Replicas));
   return onServersChanged(Now);
 }
 
@@ -294,7 +239,7 @@
   QueueActions Out;
   std::vector<SubrequestId> Unsendable;
   for (const auto &[Id, E] : m_Entries)
-    if (E.Waiting && candidates(E).empty())
+    if (E.Waiting && !m_Choice.anyCandidate(E))
       Unsendable.push_back(Id);
   for (SubrequestId Id : Unsendable) {
     Entry &E = m_Entries.at(Id);
@@ -305,13 +250,6 @@
   return Out;
 }
 
-bool ReplicaSetQueue::hasFreeSlot() const {
-  return std::any_of(m_Options.Replicas.begin(), m_Options.Replicas.end(),
-                     [&](const ServerName &Server) {
-                       return m_Resources.Slots.hasFree(Server);
-                     });
-}
-
 void ReplicaSetQueue::pump(TimePoint Now, QueueActions &Out) {
   dropExpired(Now, Out);
   hedgeDue(Now, Out);
@@ -332,7 +270,7 @@
   while (!m_HedgeTimers.empty() && m_HedgeTimers.begin()->first <= Now) {
     Entry &E = m_Entries.at(m_HedgeTimers.begin()->second);
     disarmHedge(E);
-    std::optional<ServerName> Server = chooseFree(E, Now);
+    std::optional<ServerName> Server = m_Choice.chooseFree(E, Now);
     if (!Server) {
       armHedge(E, Now + m_Options.MinHedgeDelay);
       continue;
@@ -348,10 +286,10 @@
 void ReplicaSetQueue::sendWaiting(TimePoint Now, QueueActions &Out) {
   std::optional<ServerName> Server;
   auto CanSend = [&](SubrequestId Id) {
-    Server = chooseFree(m_Entries.at(Id), Now);
+    Server = m_Choice.chooseFree(m_Entries.at(Id), Now);
     return Server.has_value();
   };
-  while (m_Scheduler.size() > 0 && hasFreeSlot()) {
+  while (m_Scheduler.size() > 0 && m_Choice.hasFreeSlot()) {
     std::optional<SubrequestId> Id = m_Scheduler.popFirst(CanSend);
     if (!Id)
       return;
@@ -387,8 +325,8 @@
                                  .Server = Server,
                                  .Class = E.Request.Class,
                                  .SentAt = Now});
-  bool CanHedge = E.Request.Repeatable && E.Live.size() == 1 &&
-                  m_Options.Replicas.size() > 1;
+  bool CanHedge =
+      E.Request.Repeatable && E.Live.size() == 1 && m_Choice.replicaCount() > 1;
   if (CanHedge)
     armHedge(E, Now + hedgeDelay(E, Now));
   Out.push_back(
--- a/packages/coordination/src/coordination/queue/ReplicaSetQueue.h
+++ b/packages/coordination/src/coordination/queue/ReplicaSetQueue.h
@@ -6,6 +6,7 @@
 #include "coordination/queue/ClassScheduler.h"
 #include "coordination/queue/QueueActions.h"
 #include "coordination/queue/QueueEntry.h"
+#include "coordination/queue/ReplicaChoice.h"
 #include "coordination/queue/ServerSlots.h"
 #include "coordination/snapshot/VersionBoard.h"
 #include "coordination/subrequest/SerialIds.h"
@@ -94,10 +95,6 @@
   using Attempt = internal::QueueAttempt;
   using Timer = std::pair<TimePoint, SubrequestId>;
 
-  [[nodiscard]] std::vector<ServerName> candidates(const Entry &E) const;
-  [[nodiscard]] std::optional<ServerName> chooseFree(const Entry &E,
-                                                     TimePoint Now) const;
-  [[nodiscard]] bool hasFreeSlot() const;
   [[nodiscard]] bool isHopeless(const Entry &E, TimePoint Now) const;
   [[nodiscard]] Duration hedgeDelay(const Entry &E, TimePoint Now) const;
 
@@ -121,6 +118,7 @@
 
   ReplicaSetQueueOptions m_Options;
   QueueResources m_Resources;
+  ReplicaChoice m_Choice;
   ClassScheduler m_Scheduler;
   std::unordered_map<SubrequestId, Entry> m_Entries;
   std::unordered_map<AttemptId, Attempt> m_Attempts;
--- a/packages/coordination/src/coordination/queue/fwd.h
+++ b/packages/coordination/src/coordination/queue/fwd.h
@@ -3,6 +3,7 @@
 namespace carawaypond {
 
 class ClassScheduler;
+class ReplicaChoice;
 class ReplicaSetQueue;
 class ServerSlots;
 struct CancelAttempt;
