Tests of the traffic decisions; the concurrency limit falls faster

The tests found that goodput at two and three times the capacity was 810 queries a second of 998: the limit fell by 15% per 100 ms, and took most of a second to get from 400 to where deadlines are met. It now falls by up to a half, in proportion to the queries that missed. A fixed factor of a half was ruled out, since one miss in a hundred would halve the limit too. The word of a reason is wordOf(), because doctest finds toString() by ADL.

--- a/packages/coordination/proof/OwnerModel.cpp
+++ b/packages/coordination/proof/OwnerModel.cpp
@@ -49,6 +49,18 @@
   return *Queue;
 }
 
+QueueCounters OwnerModel::counters() const {
+  QueueCounters Sum;
+  for (const auto &[Key, Queue] : m_Queues) {
+    const QueueCounters &Each = Queue->counters();
+    Sum.Sends += Each.Sends;
+    Sum.Hedges += Each.Hedges;
+    Sum.Retries += Each.Retries;
+    Sum.WrongVersions += Each.WrongVersions;
+  }
+  return Sum;
+}
+
 void OwnerModel::translate(QueueActions Actions, std::vector<Message> &Out) {
   for (QueueAction &Action : Actions) {
     Asked By;
--- a/packages/coordination/proof/OwnerModel.h
+++ b/packages/coordination/proof/OwnerModel.h
@@ -21,6 +21,9 @@
   [[nodiscard]] VersionBoard &versions() { return m_Versions; }
   [[nodiscard]] const ExtraLoadBudget &budget() const { return m_Budget; }
 
+  /// @return The sums over all queues.
+  [[nodiscard]] QueueCounters counters() const;
+
   std::vector<Message> enqueue(const ToOwner &Arrived,
                                const std::vector<ServerName> &Replicas,
                                TimePoint Now);
--- a/packages/coordination/proof/ProofRegistry.h
+++ b/packages/coordination/proof/ProofRegistry.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,10 +23,20 @@
   [[nodiscard]] int runs() const { return m_Runs; }
   [[nodiscard]] std::uint64_t events() const { return m_Events; }
   [[nodiscard]] bool failed() const { return m_Failed; }
+  /// @return What countCases() has counted.
+  [[nodiscard]] const std::map<std::string, std::uint64_t> &cases() const {
+    return m_Cases;
+  }
 
   /// @brief Counts random events that a proof has fed in.
   void countEvents(std::uint64_t Events) { m_Events += Events; }
 
+  /// @brief Counts what the cases came to, such as outcomes by kind, so that
+  /// the report shows that they were not all alike.
+  void countCases(const std::string &Kind, std::uint64_t Count = 1) {
+    m_Cases[Kind] += Count;
+  }
+
   /// @brief Tries @p Property, a RapidCheck property, with runs() random
   /// cases; a violation is shrunk, printed and remembered in failed().
   template <typename Property>
@@ -35,6 +46,7 @@
   }
 
 private:
+  std::map<std::string, std::uint64_t> m_Cases;
   std::uint64_t m_Seed = 0;
   std::uint64_t m_Events = 0;
   int m_Runs = 0;
--- a/packages/coordination/proof/ResultChecker.cpp
+++ b/packages/coordination/proof/ResultChecker.cpp
@@ -1,5 +1,6 @@
 #include "ResultChecker.h"
 
+#include <array>
 #include <sstream>
 #include <variant>
 
@@ -100,6 +101,17 @@
             "was told \"not run\", and had run");
 }
 
+std::map<std::string, std::uint64_t> ResultChecker::outcomes() const {
+  static const std::array<std::string, 4> Kinds = {"complete", "partial",
+                                                   "not run", "unknown"};
+  std::map<std::string, std::uint64_t> Counts;
+  for (const Asked &Query : m_Queries)
+    for (const QueryResult &Result : Query.Results)
+      ++Counts[(Query.Repeatable ? "repeatable, " : "not repeatable, ") +
+               Kinds[Result.index()]];
+  return Counts;
+}
+
 void ResultChecker::onEnd() {
   for (std::size_t Query = 0; Query < m_Queries.size(); ++Query)
     require(
--- a/packages/coordination/proof/ResultChecker.h
+++ b/packages/coordination/proof/ResultChecker.h
@@ -39,6 +39,9 @@
     return m_Violations;
   }
 
+  /// @return How many queries ended with each kind of outcome.
+  [[nodiscard]] std::map<std::string, std::uint64_t> outcomes() const;
+
   void onAsked(bool Repeatable) { m_Queries.push_back({Repeatable, {}, {}}); }
   /// @brief A backend server began to run a subrequest.
   void onRun(const Subrequest &Request);
--- a/packages/coordination/proof/TrafficWorld.cpp
+++ b/packages/coordination/proof/TrafficWorld.cpp
@@ -340,6 +340,25 @@
   }
 }
 
+std::map<std::string, std::uint64_t> TrafficWorld::counters() const {
+  std::map<std::string, std::uint64_t> Counts;
+  for (const auto &Run : m_Queries) {
+    const QueryCounters &Each = Run->counters();
+    Counts["handed on to another VM"] += Each.Reroutes;
+    Counts["restarts on another version"] += Each.Restarts;
+    Counts["answers of other queries dropped"] += Each.ForeignAnswers;
+    Counts["late answers dropped"] += Each.LateAnswers;
+  }
+  for (const auto &Owner : m_Owners) {
+    QueueCounters Each = Owner->counters();
+    Counts["sends to backend servers"] += Each.Sends;
+    Counts["hedges"] += Each.Hedges;
+    Counts["retries"] += Each.Retries;
+    Counts["answers of other versions dropped"] += Each.WrongVersions;
+  }
+  return Counts;
+}
+
 void TrafficWorld::drain() {
   auto IsIdle = [](const ServerModel &Server) { return Server.idle(); };
   for (std::size_t I = 0; I < MaxDrainSteps; ++I) {
@@ -367,6 +386,10 @@
       World.apply(Next);
     World.drain();
     Context.countEvents(World.events());
+    for (const auto &[Kind, Count] : World.checker().outcomes())
+      Context.countCases(Kind, Count);
+    for (const auto &[Kind, Count] : World.counters())
+      Context.countCases(Kind, Count);
     const std::vector<std::string> &Violations = World.checker().violations();
     if (!Violations.empty())
       RC_FAIL(Violations.front());
--- a/packages/coordination/proof/TrafficWorld.h
+++ b/packages/coordination/proof/TrafficWorld.h
@@ -7,6 +7,7 @@
 #include "Step.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -24,6 +25,9 @@
   [[nodiscard]] const ResultChecker &checker() const { return m_Checker; }
   [[nodiscard]] std::uint64_t events() const { return m_Events; }
 
+  /// @return What the library has counted, by kind.
+  [[nodiscard]] std::map<std::string, std::uint64_t> counters() const;
+
   void apply(const Step &Next);
   /// @brief Lets time pass and everything arrive, until nothing is left.
   void drain();
--- a/packages/coordination/proof/main.cpp
+++ b/packages/coordination/proof/main.cpp
@@ -95,6 +95,8 @@
             << InvariantCounter::checks() - ChecksBefore
             << " invariants checked" << (Options.Broken ? ", broken" : "")
             << "\n";
+  for (const auto &[Kind, Count] : Context.cases())
+    std::cout << "  " << Kind << ": " << Count << "\n";
   return Context.failed() ? ExitViolated : ExitHeld;
 }
 
--- a/packages/coordination/src/coordination/admission/ConcurrencyLimit.cpp
+++ b/packages/coordination/src/coordination/admission/ConcurrencyLimit.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr double DecreaseFactor = 0.85;
+/// By what part the limit falls when every query missed its deadline.
+constexpr double MaxDecrease = 0.5;
 constexpr double MinLimit = 2; // queries
 /// One decrease an interval, so that queries admitted before it don't count
 /// again.
@@ -25,16 +26,20 @@
 
 void ConcurrencyLimit::noteFinished(bool MetDeadline, std::uint32_t InUse,
                                     TimePoint Now) {
-  if (MetDeadline) {
-    if (InUse >= m_Current * InUseToIncrease)
-      m_Current = std::min(m_Max, m_Current + 1 / m_Current);
-    return;
-  }
-  if (Now - m_LastDecrease < DecreaseInterval)
-    return;
-  m_LastDecrease = Now;
+  ++(MetDeadline ? m_Met : m_Missed);
+  if (MetDeadline && InUse >= m_Current * InUseToIncrease)
+    m_Current = std::min(m_Max, m_Current + 1 / m_Current);
+  if (Now - m_IntervalStart >= DecreaseInterval)
+    endInterval(Now);
+}
+
+void ConcurrencyLimit::endInterval(TimePoint Now) {
+  double MissedPart = static_cast<double>(m_Missed) / (m_Met + m_Missed);
   double Floor = std::min(MinLimit, m_Max);
-  m_Current = std::max(Floor, m_Current * DecreaseFactor);
+  m_Current = std::max(Floor, m_Current * (1 - MaxDecrease * MissedPart));
+  m_Met = 0;
+  m_Missed = 0;
+  m_IntervalStart = Now;
 }
 
 void ConcurrencyLimit::setMax(std::uint32_t Max) {
--- a/packages/coordination/src/coordination/admission/ConcurrencyLimit.h
+++ b/packages/coordination/src/coordination/admission/ConcurrencyLimit.h
@@ -8,7 +8,8 @@
 
 /// @brief How many queries can run at once and still meet their deadlines,
 /// found by additive increase and multiplicative decrease: it falls while
-/// queries miss their deadlines, and rises while they meet them at the limit.
+/// queries miss their deadlines, the faster the more of them do, and rises
+/// while they meet them at the limit.
 class ConcurrencyLimit {
 public:
   /// @param Max The configured limit, where it starts.
@@ -24,9 +25,13 @@
   void setMax(std::uint32_t Max);
 
 private:
+  void endInterval(TimePoint Now);
+
   double m_Max = 1;
   double m_Current = 1;
-  TimePoint m_LastDecrease{};
+  std::uint32_t m_Met = 0;    ///< In this interval.
+  std::uint32_t m_Missed = 0; ///< In this interval.
+  TimePoint m_IntervalStart{};
 };
 
 } // namespace carawaypond
--- a/packages/coordination/src/coordination/subrequest/SubReason.h
+++ b/packages/coordination/src/coordination/subrequest/SubReason.h
@@ -28,11 +28,10 @@
 };
 
 /// @return The fixed word used on the wire, such as "version_gone".
-[[nodiscard]] std::string_view toString(SubReason Reason);
+[[nodiscard]] std::string_view wordOf(SubReason Reason);
 
 /// @return The reason with that word, if there is one.
-[[nodiscard]] std::optional<SubReason>
-subReasonFromString(std::string_view Word);
+[[nodiscard]] std::optional<SubReason> reasonOfWord(std::string_view Word);
 
 /// @return Whether the replica refused because of the version or layout that
 /// was pinned, so that another snapshot may help.
