Platform stand-in: Object API, watch, VM list and faults

Tests and the demo need the platform's documented interface with outages, lost answers and lag that can be switched while a run goes on. The store, the VM list and the faults are kept free of I/O so that their rules are tested without sockets; HTTP stands on Beast coroutines in one thread.

--- /dev/null
+++ b/standins/src/backends/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/standins/src/common/HttpRequest.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+
+namespace carawaypond::standins {
+
+/// @brief A request as a handler sees it.
+struct HttpRequest {
+  std::string Method;
+  std::string Path;  ///< Target up to the question mark.
+  std::string Query; ///< Target after the question mark.
+  std::string IfMatch;
+  std::string IfNoneMatch;
+  std::string Body;
+};
+
+} // namespace carawaypond::standins
--- /dev/null
+++ b/standins/src/platform/CallCounts.cpp
@@ -0,0 +1,16 @@
+#include "platform/CallCounts.h"
+
+#include <nlohmann/json.hpp>
+
+namespace carawaypond::standins {
+
+nlohmann::json CallCounts::toJson() const {
+  return {{"total", m_Total}, {"watching", m_Watching}, {"calls", m_Calls}};
+}
+
+void CallCounts::count(const std::string &Kind, const std::string &Method) {
+  ++m_Total;
+  ++m_Calls[Kind][Method];
+}
+
+} // namespace carawaypond::standins
