Backend stand-in: many servers in one process, and example deployments

Tests and the demo need backend servers with the interface's slots, versions, cancellation and drains, and faults that can be switched while a run goes on. One process hosts all servers of a deployment on one thread, since hundreds of processes would not fit a developer's machine. Decisions (queue, versions, layouts, records, log) are kept free of I/O for tests without sockets.

--- /dev/null
+++ b/standins/src/backends/index/fwd.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace carawaypond::standins {
+
+class IndexTimeline;
+class ReplicaWindow;
+struct Refusal;
+
+} // namespace carawaypond::standins
--- /dev/null
+++ b/standins/src/backends/log/RunLog.cpp
@@ -0,0 +1,94 @@
+#include "backends/log/RunLog.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace carawaypond::standins {
+
+namespace {
+
+const char *nameOf(RunEvent Event) {
+  switch (Event) {
+  case RunEvent::Received:
+    return "received";
+  case RunEvent::Started:
+    return "started";
+  case RunEvent::Finished:
+    return "finished";
+  case RunEvent::Refused:
+    return "refused";
+  case RunEvent::Cancelled:
+    return "cancelled";
+  }
+  return "";
+}
+
+nlohmann::json toJson(const RunLogEntry &Entry) {
+  nlohmann::json Json = {
+      {"seq", Entry.Seq},           {"id", Entry.Id},
+      {"service", Entry.Service},   {"shard", Entry.Shard},
+      {"server", Entry.Server},     {"version", Entry.Version},
+      {"token", Entry.Token},       {"event", nameOf(Entry.Event)},
+      {"wall_us", Entry.WallMicros}};
+  if (!Entry.Reason.empty())
+    Json["reason"] = Entry.Reason;
+  return Json;
+}
+
+} // namespace
+
+nlohmann::json RunLog::entriesAfter(std::uint64_t Seq,
+                                    std::size_t Limit) const {
+  std::uint64_t First = m_LastSeq - m_Entries.size() + 1;
+  std::uint64_t From = std::max(Seq + 1, First);
+  nlohmann::json Entries = nlohmann::json::array();
+  while (From <= m_LastSeq && Entries.size() < Limit)
+    Entries.push_back(toJson(m_Entries[From++ - First]));
+  return {
+      {"first", First}, {"next", From - 1}, {"entries", std::move(Entries)}};
+}
+
+nlohmann::json RunLog::runsOf(const std::string &Token) const {
+  std::uint64_t Total = 0;
+  nlohmann::json Shards = nlohmann::json::array();
+  auto Found = m_Runs.find(Token);
+  if (Found != m_Runs.end())
+    for (const ShardRuns &Of : Found->second) {
+      Total += Of.Runs;
+      Shards.push_back(
+          {{"service", Of.Service}, {"shard", Of.Shard}, {"runs", Of.Runs}});
+    }
+  return {{"token", Token}, {"runs", Total}, {"shards", std::move(Shards)}};
+}
+
+void RunLog::add(RunLogEntry Entry) {
+  Entry.Seq = ++m_LastSeq;
+  if (Entry.Event == RunEvent::Started && !Entry.Token.empty())
+    countRun(Entry);
+  m_Entries.push_back(std::move(Entry));
+  if (m_Entries.size() > m_Capacity)
+    m_Entries.pop_front();
+}
+
+void RunLog::countRun(const RunLogEntry &Entry) {
+  auto [Of, IsNew] = m_Runs.try_emplace(Entry.Token);
+  if (IsNew)
+    m_Tokens.push_back(Entry.Token);
+  auto Shard = std::find_if(
+      Of->second.begin(), Of->second.end(), [&](const ShardRuns &S) {
+        return S.Shard == Entry.Shard && S.Service == Entry.Service;
+      });
+  if (Shard != Of->second.end())
+    ++Shard->Runs;
+  else
+    Of->second.push_back(
+        {.Service = Entry.Service, .Shard = Entry.Shard, .Runs = 1});
+  if (m_Tokens.size() > m_Capacity) {
+    m_Runs.erase(m_Tokens.front());
+    m_Tokens.pop_front();
+  }
+}
+
+} // namespace carawaypond::standins
--- /dev/null
+++ b/standins/src/backends/log/fwd.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace carawaypond::standins {
+
+class RunLog;
+enum class RunEvent;
+struct RunLogEntry;
+
+} // namespace carawaypond::standins
--- /dev/null
+++ b/standins/src/backends/server/Fleet.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "backends/server/BackendServer.h"
+#include "backends/server/IndexPublisher.h"
+#include "common/Signal.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace carawaypond::standins {
+
+/// @brief All servers of a deployment, and the life of their indexes.
+class Fleet {
+public:
+  struct Options {
+    std::string Platform; ///< "ip:port".
+    std::uint64_t Seed = 1;
+  };
+  using Servers = std::vector<std::unique_ptr<BackendServer>>;
+
+  Fleet(boost::asio::io_context &Io, const Deployment &Plan, Options Given);
+
+  [[nodiscard]] const Servers &servers() const { return m_Servers; }
+  [[nodiscard]] const RunLog &log() const { return m_Log; }
+  [[nodiscard]] std::vector<ServiceRuntime *> services() const;
+
+  /// @brief Opens every listener.
+  Result<void> open();
+  /// @brief Publishes every index, then lets the versions advance.
+  boost::asio::awaitable<void> publishAll();
+  /// @brief Publishes @p Service's index in the background.
+  void publish(ServiceRuntime &Service);
+  /// @brief Makes up to @p Count new versions of the index.
+  /// @return How many were made.
+  std::uint64_t advance(ServiceRuntime &Service, std::uint64_t Count);
+  /// @brief Sets the time between versions; 0 for never.
+  void setEvery(ServiceRuntime &Service, Milliseconds Every);
+  /// @brief Announces that @p Server leaves, or serves again, in its index.
+  void announceLeaving(BackendServer &Server, bool Leaving);
+
+private:
+  struct Service {
+    Service(const ServicePlan &Plan, VersionOptions Versions)
+        : Runtime(Plan, Versions) {}
+
+    ServiceRuntime Runtime;
+    std::vector<BackendServer *> Servers;
+    Signal EveryChanged;
+  };
+
+  boost::asio::awaitable<void> advanceLoop(Service &Of);
+  boost::asio::awaitable<void> announce(BackendServer &Server, bool Leaving);
+  Service &find(const ServiceRuntime &Runtime);
+
+  boost::asio::io_context &m_Io;
+  IndexPublisher m_Publisher;
+  RunLog m_Log;
+  std::map<std::string, std::unique_ptr<Service>> m_Services;
+  Servers m_Servers;
+};
+
+} // namespace carawaypond::standins
--- a/standins/src/platform/PlatformServer.cpp
+++ b/standins/src/platform/PlatformServer.cpp
@@ -1,5 +1,6 @@
 #include "platform/PlatformServer.h"
 
+#include "common/Overloaded.h"
 #include "common/Replies.h"
 #include "common/Sleep.h"
 #include "common/UrlQuery.h"
@@ -24,10 +25,6 @@
 constexpr std::uint64_t DefaultWatchMillis = 30'000;
 constexpr std::uint64_t MaxWatchMillis = 300'000;
 
-template <class... Visitors> struct Overloaded : Visitors... {
-  using Visitors::operator()...;
-};
-
 HttpReply notFound(std::string_view Path) {
   return errorReply(404, "not_found",
                     "\"" + std::string(Path) + "\" does not exist");
