--- a/packages/daemon/src/daemon/traffic/OwnerRunner.cpp
+++ b/packages/daemon/src/daemon/traffic/OwnerRunner.cpp
@@ -67,7 +67,7 @@
   }
   QueueActions operator()(const backend::SearchRefused &Refused) const {
     SubReason Reason =
-        subReasonFromString(Refused.Reason).value_or(SubReason::Shed);
+        reasonOfWord(Refused.Reason).value_or(SubReason::Shed);
     return Queue.onRefused(Send.Attempt,
                            {.Reason = Reason,
                             .Ran = false,
--- a/packages/daemon/src/daemon/traffic/PeerConversion.cpp
+++ b/packages/daemon/src/daemon/traffic/PeerConversion.cpp
@@ -24,15 +24,15 @@
   }
   void operator()(const SubNotRun &NotRun) const {
     Out.Outcome = PeerOutcome::NotRun;
-    Out.Reason = toString(NotRun.Reason);
+    Out.Reason = wordOf(NotRun.Reason);
   }
   void operator()(const SubInDoubt &InDoubt) const {
     Out.Outcome = PeerOutcome::InDoubt;
-    Out.Reason = toString(InDoubt.Reason);
+    Out.Reason = wordOf(InDoubt.Reason);
   }
   void operator()(const SubVersionGone &Gone) const {
     Out.Outcome = PeerOutcome::VersionGone;
-    Out.Reason = toString(SubReason::VersionGone);
+    Out.Reason = wordOf(SubReason::VersionGone);
     if (Gone.Served.empty())
       return;
     Out.Server = Gone.Served.front().Server;
@@ -87,7 +87,7 @@
 
 SubOutcome fromPeer(const PeerResult &Result, ShardId Shard) {
   SubReason Reason =
-      subReasonFromString(Result.Reason).value_or(SubReason::Timeout);
+      reasonOfWord(Result.Reason).value_or(SubReason::Timeout);
   switch (Result.Outcome) {
   case PeerOutcome::Answered:
     return SubAnswered{.Version = Result.Version,
--- a/packages/daemon/src/daemon/traffic/QueryDriver.cpp
+++ b/packages/daemon/src/daemon/traffic/QueryDriver.cpp
@@ -34,7 +34,7 @@
     : m_Resources(std::move(Resources)),
       m_Run(std::move(Asked),
             {.Pinner = m_Resources.Service->pinner(),
-             .Routes = *m_Resources.Routes,
+             .Routes = m_Resources.Routes,
              .Budget = m_Resources.Service->coordinatorBudget(),
              .Ids = m_Resources.Context.Ids},
             {}),
