--- a/packages/peer/src/peer/codec/ResultCodec.cpp
+++ b/packages/peer/src/peer/codec/ResultCodec.cpp
@@ -1,6 +1,7 @@
 #include "peer/codec/ResultCodec.h"
 
 #include "peer/codec/Bytes.h"
+#include "peer/codec/RangeCodec.h"
 
 #include <utility>
 
@@ -39,20 +40,6 @@
   return PeerOutcome::InDoubt;
 }
 
-void writeRanges(const std::vector<VersionRange> &Ranges,
-                 wire::SubrequestResult::Builder Out) {
-  if (Ranges.empty())
-    return;
-  auto List = Out.initRanges(static_cast<capnp::uint>(Ranges.size()));
-  capnp::uint Next = 0;
-  for (const VersionRange &Range : Ranges) {
-    wire::VersionRange::Builder Item = List[Next++];
-    Item.setLayout(Range.Layout);
-    Item.setOldest(Range.Oldest.value());
-    Item.setNewest(Range.Newest.value());
-  }
-}
-
 } // namespace
 
 void writeResult(const PeerResult &Result,
@@ -65,7 +52,9 @@
     Out.setPayload(toData(Result.Payload));
   if (!Result.Reason.empty())
     Out.setReason(toText(Result.Reason));
-  writeRanges(Result.Ranges, Out);
+  if (!Result.Ranges.empty())
+    writeRanges(Result.Ranges,
+                Out.initRanges(static_cast<capnp::uint>(Result.Ranges.size())));
   if (Result.Server)
     Out.setServer(toText(Result.Server->value()));
 }
@@ -77,12 +66,8 @@
                     .Layout = In.getLayout(),
                     .Payload = toString(In.getPayload()),
                     .Reason = toString(In.getReason()),
-                    .Ranges = {},
+                    .Ranges = readRanges(In.getRanges()),
                     .Server = std::nullopt};
-  for (wire::VersionRange::Reader Range : In.getRanges())
-    Result.Ranges.push_back({.Layout = Range.getLayout(),
-                             .Oldest = IndexVersion(Range.getOldest()),
-                             .Newest = IndexVersion(Range.getNewest())});
   std::string Server = toString(In.getServer());
   if (!Server.empty())
     Result.Server = ServerName(std::move(Server));
--- a/packages/peer/src/peer/link/PeerConnection.cpp
+++ b/packages/peer/src/peer/link/PeerConnection.cpp
@@ -1,6 +1,7 @@
 #include "peer/link/PeerConnection.h"
 
 #include "peer/codec/Bytes.h"
+#include "peer/codec/DigestCodec.h"
 #include "peer/codec/ObjectCodec.h"
 #include "peer/codec/SubrequestCodec.h"
 #include "peer/loop/SocketOptions.h"
@@ -76,14 +77,12 @@
       }));
 }
 
-kj::Promise<Result<std::string>>
-PeerConnection::exchange(const std::string &Digest) {
+kj::Promise<Result<Digest>> PeerConnection::exchange(const Digest &Own) {
   auto Call = m_Remote.exchangeRequest();
-  Call.setDigest(toData(Digest));
-  return settled<std::string>(
-      Call.send().then([](auto &&Answer) -> Result<std::string> {
-        return toString(Answer.getDigest());
-      }));
+  writeDigest(Own, Call.initDigest());
+  return settled<Digest>(Call.send().then([](auto &&Answer) -> Result<Digest> {
+    return readDigest(Answer.getDigest());
+  }));
 }
 
 kj::Promise<Result<std::vector<StoredObject>>>
--- a/packages/peer/src/peer/link/PeerConnection.h
+++ b/packages/peer/src/peer/link/PeerConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/membership/Digest.h"
 #include "core/id/Ids.h"
 #include "core/outcome/Result.h"
 #include "peer/loop/LoopContext.h"
@@ -34,8 +35,7 @@
   [[nodiscard]] kj::Promise<void> onDisconnect();
 
   [[nodiscard]] kj::Promise<Result<PeerIdentity>> hello();
-  [[nodiscard]] kj::Promise<Result<std::string>>
-  exchange(const std::string &Digest);
+  [[nodiscard]] kj::Promise<Result<Digest>> exchange(const Digest &Own);
   [[nodiscard]] kj::Promise<Result<std::vector<StoredObject>>>
   fetchServices(const std::vector<std::string> &Names);
   [[nodiscard]] kj::Promise<Result<std::vector<StoredObject>>>
--- a/packages/peer/src/peer/link/PeerLink.cpp
+++ b/packages/peer/src/peer/link/PeerLink.cpp
@@ -40,14 +40,13 @@
   return !HasConnection && m_RetryAt <= Now && m_Tasks.isEmpty();
 }
 
-void PeerLink::exchange(std::string Digest, Reply<std::string> OnReply,
-                        Duration Timeout) {
-  whenUp([this, Digest = std::move(Digest), OnReply = std::move(OnReply),
+void PeerLink::exchange(Digest Own, Reply<Digest> OnReply, Duration Timeout) {
+  whenUp([this, Own = std::move(Own), OnReply = std::move(OnReply),
           Timeout](const Result<void> &Up) {
     if (!Up)
       return OnReply(Up.error());
     std::uint64_t Generation = m_Generation;
-    auto Settle = [this, Generation, OnReply](Result<std::string> Outcome) {
+    auto Settle = [this, Generation, OnReply](Result<Digest> Outcome) {
       bool Silent = !Outcome && Outcome.error().Code == ErrorCode::TimedOut;
       if (Silent)
         ++m_Context.Counters.ExchangesTimedOut;
@@ -56,7 +55,7 @@
               .Message = m_Address + " is silent"});
       OnReply(std::move(Outcome));
     };
-    track<std::string>(m_Connection->exchange(Digest), Settle, Timeout);
+    track<Digest>(m_Connection->exchange(Own), Settle, Timeout);
   });
 }
 
--- a/packages/peer/src/peer/link/PeerLink.h
+++ b/packages/peer/src/peer/link/PeerLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/membership/Digest.h"
 #include "core/id/Ids.h"
 #include "core/outcome/Result.h"
 #include "core/time/Time.h"
@@ -40,8 +41,7 @@
   /// @return True when it holds nothing that a new link would not have.
   [[nodiscard]] bool idle(TimePoint Now);
 
-  void exchange(std::string Digest, Reply<std::string> OnReply,
-                Duration Timeout);
+  void exchange(Digest Own, Reply<Digest> OnReply, Duration Timeout);
   void fetch(ObjectKind Kind, std::vector<std::string> Names,
              Reply<std::vector<StoredObject>> OnReply, Duration Timeout);
   void run(Incarnation Expected, std::vector<PeerSubrequest> Batch,
--- a/packages/peer/src/peer/node/PeerHandlers.h
+++ b/packages/peer/src/peer/node/PeerHandlers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/membership/Digest.h"
 #include "core/id/Ids.h"
 #include "peer/message/PeerIdentity.h"
 #include "peer/message/PeerQuery.h"
@@ -24,9 +25,8 @@
 struct PeerHandlers {
   using Names = std::vector<std::string>;
 
-  /// Takes a peer's encoded digest and answers with this VM's.
-  std::function<std::string(const PeerIdentity &, const std::string &)>
-      OnExchange;
+  /// Takes a peer's digest and answers with this VM's, made after it came.
+  std::function<void(const PeerIdentity &, Digest, Reply<Digest>)> OnExchange;
   /// Answers the named objects that it knows; no names ask for all.
   std::function<void(Names, Reply<std::vector<StoredObject>>)> OnFetchServices;
   std::function<void(Names, Reply<std::vector<StoredObject>>)> OnFetchIndexes;
--- a/packages/peer/src/peer/node/PeerNode.cpp
+++ b/packages/peer/src/peer/node/PeerNode.cpp
@@ -99,13 +99,13 @@
 
 PeerStats PeerNode::stats() const { return m_Impl->stats(); }
 
-void PeerNode::exchange(std::string Address, std::string Digest,
-                        Reply<std::string> OnReply, Duration Timeout) {
-  m_Impl->onLink(std::move(Address), [Digest = std::move(Digest),
-                                      OnReply = std::move(OnReply),
-                                      Timeout](PeerLink &Link) mutable {
-    Link.exchange(std::move(Digest), std::move(OnReply), Timeout);
-  });
+void PeerNode::exchange(std::string Address, Digest Own, Reply<Digest> OnReply,
+                        Duration Timeout) {
+  m_Impl->onLink(std::move(Address),
+                 [Own = std::move(Own), OnReply = std::move(OnReply),
+                  Timeout](PeerLink &Link) mutable {
+                   Link.exchange(std::move(Own), std::move(OnReply), Timeout);
+                 });
 }
 
 void PeerNode::fetchServices(std::string Address,
--- a/packages/peer/src/peer/node/PeerNode.h
+++ b/packages/peer/src/peer/node/PeerNode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/membership/Digest.h"
 #include "core/id/Ids.h"
 #include "core/outcome/Result.h"
 #include "core/time/Time.h"
@@ -41,8 +42,8 @@
 
   /// @brief Exchanges digests. A timeout drops the connection: the peer is
   /// silent.
-  void exchange(std::string Address, std::string Digest,
-                Reply<std::string> OnReply, Duration Timeout);
+  void exchange(std::string Address, Digest Own, Reply<Digest> OnReply,
+                Duration Timeout);
   /// @brief Fetches services; the peer may answer fewer than it was asked for.
   void fetchServices(std::string Address, std::vector<std::string> Names,
                      Reply<std::vector<StoredObject>> OnReply,
--- a/packages/peer/src/peer/schema/Peer.capnp
+++ b/packages/peer/src/peer/schema/Peer.capnp
@@ -62,6 +62,66 @@
   json @2 :Data;
 }
 
+enum VmState {
+  live @0;
+  suspect @1;
+  leaving @2;
+  gone @3;
+}
+
+struct VmRecord {
+  identity @0 :Identity;
+  centre @1 :Text;
+  peerAddress @2 :Text;
+  callerAddress @3 :Text;
+  operatorAddress @4 :Text;
+  state @5 :VmState;
+  counter @6 :UInt64;
+  ageMillis @7 :UInt64;
+}
+
+struct CentreHeard {
+  centre @0 :Text;
+  heard @1 :UInt32;
+  ageMillis @2 :UInt64;
+}
+
+struct Held {
+  name @0 :Text;
+  version @1 :UInt64;
+}
+
+struct DrainSign {
+  server @0 :Text;
+  origin @1 :Text;
+  sequence @2 :UInt64;
+  ageMillis @3 :UInt64;
+  leaving @4 :Bool;
+}
+
+struct ReplicaVersions {
+  service @0 :Text;
+  server @1 :Text;
+  shard @2 :UInt32;
+  ranges @3 :List(VersionRange);
+}
+
+struct Digest {
+  sender @0 :VmRecord;
+  vms @1 :List(VmRecord);
+  centres @2 :List(CentreHeard);
+  configs @3 :List(Held);
+  configCount @4 :UInt64;
+  configFingerprint @5 :UInt64;
+  drains @6 :List(DrainSign);
+  indexes @7 :List(Held);
+  versions @8 :List(ReplicaVersions);
+  storeReachable @9 :Bool;
+  informed @10 :Bool;
+  storeAgeMillis @11 :UInt64;
+  serveMillis @12 :UInt64;
+}
+
 interface ResultSink {
   deliver @0 (results :List(SubrequestResult)) -> ();
 }
@@ -70,7 +130,7 @@
   hello @0 (self :Identity, sink :ResultSink) -> (accepted :Bool, self :Identity);
   # The first call on each connection. Results of run() go to the sink.
 
-  exchange @1 (digest :Data) -> (digest :Data);
+  exchange @1 (digest :Digest) -> (digest :Digest);
 
   fetchServices @2 (names :List(Text)) -> (objects :List(StoredObject));
   fetchIndexes @3 (names :List(Text)) -> (objects :List(StoredObject));
--- a/packages/peer/src/peer/schema/Peer.capnp.h
+++ b/packages/peer/src/peer/schema/Peer.capnp.h
@@ -33,6 +33,20 @@
 CAPNP_DECLARE_SCHEMA(ef205e3dfd74a255);
 CAPNP_DECLARE_SCHEMA(e0887eeb1f51330f);
 CAPNP_DECLARE_SCHEMA(b4030eed61fb75c3);
+CAPNP_DECLARE_SCHEMA(ddad32d1abb986f0);
+enum class VmState_ddad32d1abb986f0: uint16_t {
+  LIVE,
+  SUSPECT,
+  LEAVING,
+  GONE,
+};
+CAPNP_DECLARE_ENUM(VmState, ddad32d1abb986f0);
+CAPNP_DECLARE_SCHEMA(ce14a1d077ec3a93);
+CAPNP_DECLARE_SCHEMA(ad29f1e839f3620a);
+CAPNP_DECLARE_SCHEMA(eab6f9916c7829e3);
+CAPNP_DECLARE_SCHEMA(e70380268abb92fb);
+CAPNP_DECLARE_SCHEMA(fc51a73567ee93e9);
+CAPNP_DECLARE_SCHEMA(9c5de1ac4143528e);
 CAPNP_DECLARE_SCHEMA(862429ea818a0235);
 CAPNP_DECLARE_SCHEMA(975fc6b51058ca2b);
 CAPNP_DECLARE_SCHEMA(b8c6f16ac59a8886);
@@ -151,6 +165,98 @@
   };
 };
 
+typedef ::capnp::schemas::VmState_ddad32d1abb986f0 VmState;
+
+struct VmRecord {
+  VmRecord() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ce14a1d077ec3a93, 3, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CentreHeard {
+  CentreHeard() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ad29f1e839f3620a, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Held {
+  Held() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eab6f9916c7829e3, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct DrainSign {
+  DrainSign() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e70380268abb92fb, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ReplicaVersions {
+  ReplicaVersions() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fc51a73567ee93e9, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Digest {
+  Digest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9c5de1ac4143528e, 5, 7)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ResultSink {
   ResultSink() = delete;
 
@@ -1075,62 +1181,146 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class ResultSink::Client
-    : public virtual ::capnp::Capability::Client {
+class VmRecord::Reader {
 public:
-  typedef ResultSink Calls;
-  typedef ResultSink Reads;
+  typedef VmRecord Reads;
 
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  ::capnp::Request< ::carawaypond::peer::wire::ResultSink::DeliverParams,  ::carawaypond::peer::wire::ResultSink::DeliverResults> deliverRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-protected:
-  Client() = default;
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasIdentity() const;
+  inline  ::carawaypond::peer::wire::Identity::Reader getIdentity() const;
+
+  inline bool hasCentre() const;
+  inline  ::capnp::Text::Reader getCentre() const;
+
+  inline bool hasPeerAddress() const;
+  inline  ::capnp::Text::Reader getPeerAddress() const;
+
+  inline bool hasCallerAddress() const;
+  inline  ::capnp::Text::Reader getCallerAddress() const;
+
+  inline bool hasOperatorAddress() const;
+  inline  ::capnp::Text::Reader getOperatorAddress() const;
+
+  inline  ::carawaypond::peer::wire::VmState getState() const;
+
+  inline  ::uint64_t getCounter() const;
+
+  inline  ::uint64_t getAgeMillis() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class ResultSink::Server
-    : public virtual ::capnp::Capability::Server {
+class VmRecord::Builder {
 public:
-  typedef ResultSink Serves;
+  typedef VmRecord Builds;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-protected:
-  typedef  ::carawaypond::peer::wire::ResultSink::DeliverParams DeliverParams;
-  typedef  ::carawaypond::peer::wire::ResultSink::DeliverResults DeliverResults;
-  typedef ::capnp::CallContext<DeliverParams, DeliverResults> DeliverContext;
-  virtual ::kj::Promise<void> deliver(DeliverContext context);
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline  ::carawaypond::peer::wire::ResultSink::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::carawaypond::peer::wire::ResultSink>();
-  }
+  inline bool hasIdentity();
+  inline  ::carawaypond::peer::wire::Identity::Builder getIdentity();
+  inline void setIdentity( ::carawaypond::peer::wire::Identity::Reader value);
+  inline  ::carawaypond::peer::wire::Identity::Builder initIdentity();
+  inline void adoptIdentity(::capnp::Orphan< ::carawaypond::peer::wire::Identity>&& value);
+  inline ::capnp::Orphan< ::carawaypond::peer::wire::Identity> disownIdentity();
+
+  inline bool hasCentre();
+  inline  ::capnp::Text::Builder getCentre();
+  inline void setCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCentre(unsigned int size);
+  inline void adoptCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCentre();
+
+  inline bool hasPeerAddress();
+  inline  ::capnp::Text::Builder getPeerAddress();
+  inline void setPeerAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPeerAddress(unsigned int size);
+  inline void adoptPeerAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPeerAddress();
+
+  inline bool hasCallerAddress();
+  inline  ::capnp::Text::Builder getCallerAddress();
+  inline void setCallerAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCallerAddress(unsigned int size);
+  inline void adoptCallerAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCallerAddress();
+
+  inline bool hasOperatorAddress();
+  inline  ::capnp::Text::Builder getOperatorAddress();
+  inline void setOperatorAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOperatorAddress(unsigned int size);
+  inline void adoptOperatorAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOperatorAddress();
+
+  inline  ::carawaypond::peer::wire::VmState getState();
+  inline void setState( ::carawaypond::peer::wire::VmState value);
+
+  inline  ::uint64_t getCounter();
+  inline void setCounter( ::uint64_t value);
+
+  inline  ::uint64_t getAgeMillis();
+  inline void setAgeMillis( ::uint64_t value);
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class VmRecord::Pipeline {
+public:
+  typedef VmRecord Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::carawaypond::peer::wire::Identity::Pipeline getIdentity();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
 #endif  // !CAPNP_LITE
 
-class ResultSink::DeliverParams::Reader {
+class CentreHeard::Reader {
 public:
-  typedef DeliverParams Reads;
+  typedef CentreHeard Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1145,8 +1335,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResults() const;
-  inline  ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Reader getResults() const;
+  inline bool hasCentre() const;
+  inline  ::capnp::Text::Reader getCentre() const;
+
+  inline  ::uint32_t getHeard() const;
+
+  inline  ::uint64_t getAgeMillis() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1160,9 +1354,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ResultSink::DeliverParams::Builder {
+class CentreHeard::Builder {
 public:
-  typedef DeliverParams Builds;
+  typedef CentreHeard Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1176,12 +1370,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResults();
-  inline  ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Builder getResults();
-  inline void setResults( ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Builder initResults(unsigned int size);
-  inline void adoptResults(::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>> disownResults();
+  inline bool hasCentre();
+  inline  ::capnp::Text::Builder getCentre();
+  inline void setCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCentre(unsigned int size);
+  inline void adoptCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCentre();
+
+  inline  ::uint32_t getHeard();
+  inline void setHeard( ::uint32_t value);
+
+  inline  ::uint64_t getAgeMillis();
+  inline void setAgeMillis( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1193,9 +1393,9 @@
 };
 
 #if !CAPNP_LITE
-class ResultSink::DeliverParams::Pipeline {
+class CentreHeard::Pipeline {
 public:
-  typedef DeliverParams Pipelines;
+  typedef CentreHeard Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1209,9 +1409,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ResultSink::DeliverResults::Reader {
+class Held::Reader {
 public:
-  typedef DeliverResults Reads;
+  typedef Held Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1226,6 +1426,11 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline  ::uint64_t getVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1238,9 +1443,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ResultSink::DeliverResults::Builder {
+class Held::Builder {
 public:
-  typedef DeliverResults Builds;
+  typedef Held Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1254,6 +1459,16 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1264,9 +1479,9 @@
 };
 
 #if !CAPNP_LITE
-class ResultSink::DeliverResults::Pipeline {
+class Held::Pipeline {
 public:
-  typedef DeliverResults Pipelines;
+  typedef Held Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1280,119 +1495,34 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
+class DrainSign::Reader {
 public:
-  typedef Peer Calls;
-  typedef Peer Reads;
+  typedef DrainSign Reads;
 
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  ::capnp::Request< ::carawaypond::peer::wire::Peer::HelloParams,  ::carawaypond::peer::wire::Peer::HelloResults> helloRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::carawaypond::peer::wire::Peer::ExchangeParams,  ::carawaypond::peer::wire::Peer::ExchangeResults> exchangeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::carawaypond::peer::wire::Peer::FetchServicesParams,  ::carawaypond::peer::wire::Peer::FetchServicesResults> fetchServicesRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::carawaypond::peer::wire::Peer::FetchIndexesParams,  ::carawaypond::peer::wire::Peer::FetchIndexesResults> fetchIndexesRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::carawaypond::peer::wire::Peer::RunParams,  ::carawaypond::peer::wire::Peer::RunResults> runRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::carawaypond::peer::wire::Peer::CancelParams,  ::carawaypond::peer::wire::Peer::CancelResults> cancelRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::carawaypond::peer::wire::Peer::QueryParams,  ::carawaypond::peer::wire::Peer::QueryResults> queryRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-protected:
-  Client() = default;
-};
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Peer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::carawaypond::peer::wire::Peer::HelloParams HelloParams;
-  typedef  ::carawaypond::peer::wire::Peer::HelloResults HelloResults;
-  typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
-  virtual ::kj::Promise<void> hello(HelloContext context);
-  typedef  ::carawaypond::peer::wire::Peer::ExchangeParams ExchangeParams;
-  typedef  ::carawaypond::peer::wire::Peer::ExchangeResults ExchangeResults;
-  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
-  virtual ::kj::Promise<void> exchange(ExchangeContext context);
-  typedef  ::carawaypond::peer::wire::Peer::FetchServicesParams FetchServicesParams;
-  typedef  ::carawaypond::peer::wire::Peer::FetchServicesResults FetchServicesResults;
-  typedef ::capnp::CallContext<FetchServicesParams, FetchServicesResults> FetchServicesContext;
-  virtual ::kj::Promise<void> fetchServices(FetchServicesContext context);
-  typedef  ::carawaypond::peer::wire::Peer::FetchIndexesParams FetchIndexesParams;
-  typedef  ::carawaypond::peer::wire::Peer::FetchIndexesResults FetchIndexesResults;
-  typedef ::capnp::CallContext<FetchIndexesParams, FetchIndexesResults> FetchIndexesContext;
-  virtual ::kj::Promise<void> fetchIndexes(FetchIndexesContext context);
-  typedef  ::carawaypond::peer::wire::Peer::RunParams RunParams;
-  typedef  ::carawaypond::peer::wire::Peer::RunResults RunResults;
-  typedef ::capnp::CallContext<RunParams, RunResults> RunContext;
-  virtual ::kj::Promise<void> run(RunContext context);
-  typedef  ::carawaypond::peer::wire::Peer::CancelParams CancelParams;
-  typedef  ::carawaypond::peer::wire::Peer::CancelResults CancelResults;
-  typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
-  virtual ::kj::Promise<void> cancel(CancelContext context);
-  typedef  ::carawaypond::peer::wire::Peer::QueryParams QueryParams;
-  typedef  ::carawaypond::peer::wire::Peer::QueryResults QueryResults;
-  typedef ::capnp::CallContext<QueryParams, QueryResults> QueryContext;
-  virtual ::kj::Promise<void> query(QueryContext context);
-
-  inline  ::carawaypond::peer::wire::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::carawaypond::peer::wire::Peer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Peer::HelloParams::Reader {
-public:
-  typedef HelloParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline bool hasOrigin() const;
+  inline  ::capnp::Text::Reader getOrigin() const;
 
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+  inline  ::uint64_t getSequence() const;
 
-  inline bool hasSelf() const;
-  inline  ::carawaypond::peer::wire::Identity::Reader getSelf() const;
+  inline  ::uint64_t getAgeMillis() const;
 
-  inline bool hasSink() const;
-#if !CAPNP_LITE
-  inline  ::carawaypond::peer::wire::ResultSink::Client getSink() const;
-#endif  // !CAPNP_LITE
+  inline bool getLeaving() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1406,9 +1536,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HelloParams::Builder {
+class DrainSign::Builder {
 public:
-  typedef HelloParams Builds;
+  typedef DrainSign Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1422,21 +1552,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSelf();
-  inline  ::carawaypond::peer::wire::Identity::Builder getSelf();
-  inline void setSelf( ::carawaypond::peer::wire::Identity::Reader value);
-  inline  ::carawaypond::peer::wire::Identity::Builder initSelf();
-  inline void adoptSelf(::capnp::Orphan< ::carawaypond::peer::wire::Identity>&& value);
-  inline ::capnp::Orphan< ::carawaypond::peer::wire::Identity> disownSelf();
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
 
-  inline bool hasSink();
-#if !CAPNP_LITE
-  inline  ::carawaypond::peer::wire::ResultSink::Client getSink();
-  inline void setSink( ::carawaypond::peer::wire::ResultSink::Client&& value);
-  inline void setSink( ::carawaypond::peer::wire::ResultSink::Client& value);
-  inline void adoptSink(::capnp::Orphan< ::carawaypond::peer::wire::ResultSink>&& value);
-  inline ::capnp::Orphan< ::carawaypond::peer::wire::ResultSink> disownSink();
-#endif  // !CAPNP_LITE
+  inline bool hasOrigin();
+  inline  ::capnp::Text::Builder getOrigin();
+  inline void setOrigin( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrigin(unsigned int size);
+  inline void adoptOrigin(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrigin();
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint64_t getAgeMillis();
+  inline void setAgeMillis( ::uint64_t value);
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1448,16 +1585,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HelloParams::Pipeline {
+class DrainSign::Pipeline {
 public:
-  typedef HelloParams Pipelines;
+  typedef DrainSign Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::carawaypond::peer::wire::Identity::Pipeline getSelf();
-  inline  ::carawaypond::peer::wire::ResultSink::Client getSink();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1466,9 +1601,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::HelloResults::Reader {
+class ReplicaVersions::Reader {
 public:
-  typedef HelloResults Reads;
+  typedef ReplicaVersions Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1483,10 +1618,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getAccepted() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline bool hasSelf() const;
-  inline  ::carawaypond::peer::wire::Identity::Reader getSelf() const;
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline  ::uint32_t getShard() const;
+
+  inline bool hasRanges() const;
+  inline  ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>::Reader getRanges() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1500,9 +1641,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HelloResults::Builder {
+class ReplicaVersions::Builder {
 public:
-  typedef HelloResults Builds;
+  typedef ReplicaVersions Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1516,15 +1657,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getAccepted();
-  inline void setAccepted(bool value);
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool hasSelf();
-  inline  ::carawaypond::peer::wire::Identity::Builder getSelf();
-  inline void setSelf( ::carawaypond::peer::wire::Identity::Reader value);
-  inline  ::carawaypond::peer::wire::Identity::Builder initSelf();
-  inline void adoptSelf(::capnp::Orphan< ::carawaypond::peer::wire::Identity>&& value);
-  inline ::capnp::Orphan< ::carawaypond::peer::wire::Identity> disownSelf();
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline  ::uint32_t getShard();
+  inline void setShard( ::uint32_t value);
+
+  inline bool hasRanges();
+  inline  ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>::Builder getRanges();
+  inline void setRanges( ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>::Builder initRanges(unsigned int size);
+  inline void adoptRanges(::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>> disownRanges();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1536,15 +1691,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HelloResults::Pipeline {
+class ReplicaVersions::Pipeline {
 public:
-  typedef HelloResults Pipelines;
+  typedef ReplicaVersions Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::carawaypond::peer::wire::Identity::Pipeline getSelf();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1553,9 +1707,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ExchangeParams::Reader {
+class Digest::Reader {
 public:
-  typedef ExchangeParams Reads;
+  typedef Digest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1570,8 +1724,38 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDigest() const;
-  inline  ::capnp::Data::Reader getDigest() const;
+  inline bool hasSender() const;
+  inline  ::carawaypond::peer::wire::VmRecord::Reader getSender() const;
+
+  inline bool hasVms() const;
+  inline  ::capnp::List< ::carawaypond::peer::wire::VmRecord,  ::capnp::Kind::STRUCT>::Reader getVms() const;
+
+  inline bool hasCentres() const;
+  inline  ::capnp::List< ::carawaypond::peer::wire::CentreHeard,  ::capnp::Kind::STRUCT>::Reader getCentres() const;
+
+  inline bool hasConfigs() const;
+  inline  ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>::Reader getConfigs() const;
+
+  inline  ::uint64_t getConfigCount() const;
+
+  inline  ::uint64_t getConfigFingerprint() const;
+
+  inline bool hasDrains() const;
+  inline  ::capnp::List< ::carawaypond::peer::wire::DrainSign,  ::capnp::Kind::STRUCT>::Reader getDrains() const;
+
+  inline bool hasIndexes() const;
+  inline  ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>::Reader getIndexes() const;
+
+  inline bool hasVersions() const;
+  inline  ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>::Reader getVersions() const;
+
+  inline bool getStoreReachable() const;
+
+  inline bool getInformed() const;
+
+  inline  ::uint64_t getStoreAgeMillis() const;
+
+  inline  ::uint64_t getServeMillis() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1585,9 +1769,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ExchangeParams::Builder {
+class Digest::Builder {
 public:
-  typedef ExchangeParams Builds;
+  typedef Digest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1601,12 +1785,72 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDigest();
-  inline  ::capnp::Data::Builder getDigest();
-  inline void setDigest( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initDigest(unsigned int size);
-  inline void adoptDigest(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownDigest();
+  inline bool hasSender();
+  inline  ::carawaypond::peer::wire::VmRecord::Builder getSender();
+  inline void setSender( ::carawaypond::peer::wire::VmRecord::Reader value);
+  inline  ::carawaypond::peer::wire::VmRecord::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::carawaypond::peer::wire::VmRecord>&& value);
+  inline ::capnp::Orphan< ::carawaypond::peer::wire::VmRecord> disownSender();
+
+  inline bool hasVms();
+  inline  ::capnp::List< ::carawaypond::peer::wire::VmRecord,  ::capnp::Kind::STRUCT>::Builder getVms();
+  inline void setVms( ::capnp::List< ::carawaypond::peer::wire::VmRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::carawaypond::peer::wire::VmRecord,  ::capnp::Kind::STRUCT>::Builder initVms(unsigned int size);
+  inline void adoptVms(::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::VmRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::VmRecord,  ::capnp::Kind::STRUCT>> disownVms();
+
+  inline bool hasCentres();
+  inline  ::capnp::List< ::carawaypond::peer::wire::CentreHeard,  ::capnp::Kind::STRUCT>::Builder getCentres();
+  inline void setCentres( ::capnp::List< ::carawaypond::peer::wire::CentreHeard,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::carawaypond::peer::wire::CentreHeard,  ::capnp::Kind::STRUCT>::Builder initCentres(unsigned int size);
+  inline void adoptCentres(::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::CentreHeard,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::CentreHeard,  ::capnp::Kind::STRUCT>> disownCentres();
+
+  inline bool hasConfigs();
+  inline  ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>::Builder getConfigs();
+  inline void setConfigs( ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>::Builder initConfigs(unsigned int size);
+  inline void adoptConfigs(::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>> disownConfigs();
+
+  inline  ::uint64_t getConfigCount();
+  inline void setConfigCount( ::uint64_t value);
+
+  inline  ::uint64_t getConfigFingerprint();
+  inline void setConfigFingerprint( ::uint64_t value);
+
+  inline bool hasDrains();
+  inline  ::capnp::List< ::carawaypond::peer::wire::DrainSign,  ::capnp::Kind::STRUCT>::Builder getDrains();
+  inline void setDrains( ::capnp::List< ::carawaypond::peer::wire::DrainSign,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::carawaypond::peer::wire::DrainSign,  ::capnp::Kind::STRUCT>::Builder initDrains(unsigned int size);
+  inline void adoptDrains(::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::DrainSign,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::DrainSign,  ::capnp::Kind::STRUCT>> disownDrains();
+
+  inline bool hasIndexes();
+  inline  ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>::Builder getIndexes();
+  inline void setIndexes( ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>::Builder initIndexes(unsigned int size);
+  inline void adoptIndexes(::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>> disownIndexes();
+
+  inline bool hasVersions();
+  inline  ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>::Builder getVersions();
+  inline void setVersions( ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>::Builder initVersions(unsigned int size);
+  inline void adoptVersions(::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>> disownVersions();
+
+  inline bool getStoreReachable();
+  inline void setStoreReachable(bool value);
+
+  inline bool getInformed();
+  inline void setInformed(bool value);
+
+  inline  ::uint64_t getStoreAgeMillis();
+  inline void setStoreAgeMillis( ::uint64_t value);
+
+  inline  ::uint64_t getServeMillis();
+  inline void setServeMillis( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1618,14 +1862,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ExchangeParams::Pipeline {
+class Digest::Pipeline {
 public:
-  typedef ExchangeParams Pipelines;
+  typedef Digest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::carawaypond::peer::wire::VmRecord::Pipeline getSender();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1634,9 +1879,62 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ExchangeResults::Reader {
+#if !CAPNP_LITE
+class ResultSink::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef ExchangeResults Reads;
+  typedef ResultSink Calls;
+  typedef ResultSink Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::carawaypond::peer::wire::ResultSink::DeliverParams,  ::carawaypond::peer::wire::ResultSink::DeliverResults> deliverRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class ResultSink::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef ResultSink Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::carawaypond::peer::wire::ResultSink::DeliverParams DeliverParams;
+  typedef  ::carawaypond::peer::wire::ResultSink::DeliverResults DeliverResults;
+  typedef ::capnp::CallContext<DeliverParams, DeliverResults> DeliverContext;
+  virtual ::kj::Promise<void> deliver(DeliverContext context);
+
+  inline  ::carawaypond::peer::wire::ResultSink::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::carawaypond::peer::wire::ResultSink>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class ResultSink::DeliverParams::Reader {
+public:
+  typedef DeliverParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1651,8 +1949,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDigest() const;
-  inline  ::capnp::Data::Reader getDigest() const;
+  inline bool hasResults() const;
+  inline  ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Reader getResults() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1666,9 +1964,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ExchangeResults::Builder {
+class ResultSink::DeliverParams::Builder {
 public:
-  typedef ExchangeResults Builds;
+  typedef DeliverParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1682,12 +1980,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDigest();
-  inline  ::capnp::Data::Builder getDigest();
-  inline void setDigest( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initDigest(unsigned int size);
-  inline void adoptDigest(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownDigest();
+  inline bool hasResults();
+  inline  ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Builder getResults();
+  inline void setResults( ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Builder initResults(unsigned int size);
+  inline void adoptResults(::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>> disownResults();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1699,9 +1997,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ExchangeResults::Pipeline {
+class ResultSink::DeliverParams::Pipeline {
 public:
-  typedef ExchangeResults Pipelines;
+  typedef DeliverParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1715,9 +2013,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchServicesParams::Reader {
+class ResultSink::DeliverResults::Reader {
 public:
-  typedef FetchServicesParams Reads;
+  typedef DeliverResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1732,9 +2030,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNames() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getNames() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1747,9 +2042,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchServicesParams::Builder {
+class ResultSink::DeliverResults::Builder {
 public:
-  typedef FetchServicesParams Builds;
+  typedef DeliverResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1763,14 +2058,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNames();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getNames();
-  inline void setNames( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setNames(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initNames(unsigned int size);
-  inline void adoptNames(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownNames();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1781,9 +2068,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchServicesParams::Pipeline {
+class ResultSink::DeliverResults::Pipeline {
 public:
-  typedef FetchServicesParams Pipelines;
+  typedef DeliverResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1797,9 +2084,98 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchServicesResults::Reader {
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef FetchServicesResults Reads;
+  typedef Peer Calls;
+  typedef Peer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::carawaypond::peer::wire::Peer::HelloParams,  ::carawaypond::peer::wire::Peer::HelloResults> helloRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::carawaypond::peer::wire::Peer::ExchangeParams,  ::carawaypond::peer::wire::Peer::ExchangeResults> exchangeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::carawaypond::peer::wire::Peer::FetchServicesParams,  ::carawaypond::peer::wire::Peer::FetchServicesResults> fetchServicesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::carawaypond::peer::wire::Peer::FetchIndexesParams,  ::carawaypond::peer::wire::Peer::FetchIndexesResults> fetchIndexesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::carawaypond::peer::wire::Peer::RunParams,  ::carawaypond::peer::wire::Peer::RunResults> runRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::carawaypond::peer::wire::Peer::CancelParams,  ::carawaypond::peer::wire::Peer::CancelResults> cancelRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::carawaypond::peer::wire::Peer::QueryParams,  ::carawaypond::peer::wire::Peer::QueryResults> queryRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Peer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::carawaypond::peer::wire::Peer::HelloParams HelloParams;
+  typedef  ::carawaypond::peer::wire::Peer::HelloResults HelloResults;
+  typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
+  virtual ::kj::Promise<void> hello(HelloContext context);
+  typedef  ::carawaypond::peer::wire::Peer::ExchangeParams ExchangeParams;
+  typedef  ::carawaypond::peer::wire::Peer::ExchangeResults ExchangeResults;
+  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
+  virtual ::kj::Promise<void> exchange(ExchangeContext context);
+  typedef  ::carawaypond::peer::wire::Peer::FetchServicesParams FetchServicesParams;
+  typedef  ::carawaypond::peer::wire::Peer::FetchServicesResults FetchServicesResults;
+  typedef ::capnp::CallContext<FetchServicesParams, FetchServicesResults> FetchServicesContext;
+  virtual ::kj::Promise<void> fetchServices(FetchServicesContext context);
+  typedef  ::carawaypond::peer::wire::Peer::FetchIndexesParams FetchIndexesParams;
+  typedef  ::carawaypond::peer::wire::Peer::FetchIndexesResults FetchIndexesResults;
+  typedef ::capnp::CallContext<FetchIndexesParams, FetchIndexesResults> FetchIndexesContext;
+  virtual ::kj::Promise<void> fetchIndexes(FetchIndexesContext context);
+  typedef  ::carawaypond::peer::wire::Peer::RunParams RunParams;
+  typedef  ::carawaypond::peer::wire::Peer::RunResults RunResults;
+  typedef ::capnp::CallContext<RunParams, RunResults> RunContext;
+  virtual ::kj::Promise<void> run(RunContext context);
+  typedef  ::carawaypond::peer::wire::Peer::CancelParams CancelParams;
+  typedef  ::carawaypond::peer::wire::Peer::CancelResults CancelResults;
+  typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
+  virtual ::kj::Promise<void> cancel(CancelContext context);
+  typedef  ::carawaypond::peer::wire::Peer::QueryParams QueryParams;
+  typedef  ::carawaypond::peer::wire::Peer::QueryResults QueryResults;
+  typedef ::capnp::CallContext<QueryParams, QueryResults> QueryContext;
+  virtual ::kj::Promise<void> query(QueryContext context);
+
+  inline  ::carawaypond::peer::wire::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::carawaypond::peer::wire::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Peer::HelloParams::Reader {
+public:
+  typedef HelloParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1814,8 +2190,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasObjects() const;
-  inline  ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader getObjects() const;
+  inline bool hasSelf() const;
+  inline  ::carawaypond::peer::wire::Identity::Reader getSelf() const;
+
+  inline bool hasSink() const;
+#if !CAPNP_LITE
+  inline  ::carawaypond::peer::wire::ResultSink::Client getSink() const;
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1829,9 +2210,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchServicesResults::Builder {
+class Peer::HelloParams::Builder {
 public:
-  typedef FetchServicesResults Builds;
+  typedef HelloParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1845,12 +2226,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasObjects();
-  inline  ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder getObjects();
-  inline void setObjects( ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder initObjects(unsigned int size);
-  inline void adoptObjects(::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>> disownObjects();
+  inline bool hasSelf();
+  inline  ::carawaypond::peer::wire::Identity::Builder getSelf();
+  inline void setSelf( ::carawaypond::peer::wire::Identity::Reader value);
+  inline  ::carawaypond::peer::wire::Identity::Builder initSelf();
+  inline void adoptSelf(::capnp::Orphan< ::carawaypond::peer::wire::Identity>&& value);
+  inline ::capnp::Orphan< ::carawaypond::peer::wire::Identity> disownSelf();
+
+  inline bool hasSink();
+#if !CAPNP_LITE
+  inline  ::carawaypond::peer::wire::ResultSink::Client getSink();
+  inline void setSink( ::carawaypond::peer::wire::ResultSink::Client&& value);
+  inline void setSink( ::carawaypond::peer::wire::ResultSink::Client& value);
+  inline void adoptSink(::capnp::Orphan< ::carawaypond::peer::wire::ResultSink>&& value);
+  inline ::capnp::Orphan< ::carawaypond::peer::wire::ResultSink> disownSink();
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1862,14 +2252,16 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchServicesResults::Pipeline {
+class Peer::HelloParams::Pipeline {
 public:
-  typedef FetchServicesResults Pipelines;
+  typedef HelloParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::carawaypond::peer::wire::Identity::Pipeline getSelf();
+  inline  ::carawaypond::peer::wire::ResultSink::Client getSink();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1878,9 +2270,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchIndexesParams::Reader {
+class Peer::HelloResults::Reader {
 public:
-  typedef FetchIndexesParams Reads;
+  typedef HelloResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1895,8 +2287,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNames() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getNames() const;
+  inline bool getAccepted() const;
+
+  inline bool hasSelf() const;
+  inline  ::carawaypond::peer::wire::Identity::Reader getSelf() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1910,9 +2304,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchIndexesParams::Builder {
+class Peer::HelloResults::Builder {
 public:
-  typedef FetchIndexesParams Builds;
+  typedef HelloResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1926,13 +2320,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNames();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getNames();
-  inline void setNames( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setNames(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initNames(unsigned int size);
-  inline void adoptNames(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownNames();
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
+
+  inline bool hasSelf();
+  inline  ::carawaypond::peer::wire::Identity::Builder getSelf();
+  inline void setSelf( ::carawaypond::peer::wire::Identity::Reader value);
+  inline  ::carawaypond::peer::wire::Identity::Builder initSelf();
+  inline void adoptSelf(::capnp::Orphan< ::carawaypond::peer::wire::Identity>&& value);
+  inline ::capnp::Orphan< ::carawaypond::peer::wire::Identity> disownSelf();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1944,14 +2340,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchIndexesParams::Pipeline {
+class Peer::HelloResults::Pipeline {
 public:
-  typedef FetchIndexesParams Pipelines;
+  typedef HelloResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::carawaypond::peer::wire::Identity::Pipeline getSelf();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1960,9 +2357,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FetchIndexesResults::Reader {
+class Peer::ExchangeParams::Reader {
 public:
-  typedef FetchIndexesResults Reads;
+  typedef ExchangeParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1977,8 +2374,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasObjects() const;
-  inline  ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader getObjects() const;
+  inline bool hasDigest() const;
+  inline  ::carawaypond::peer::wire::Digest::Reader getDigest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1992,9 +2389,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FetchIndexesResults::Builder {
+class Peer::ExchangeParams::Builder {
 public:
-  typedef FetchIndexesResults Builds;
+  typedef ExchangeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2008,12 +2405,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasObjects();
-  inline  ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder getObjects();
-  inline void setObjects( ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder initObjects(unsigned int size);
-  inline void adoptObjects(::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>> disownObjects();
+  inline bool hasDigest();
+  inline  ::carawaypond::peer::wire::Digest::Builder getDigest();
+  inline void setDigest( ::carawaypond::peer::wire::Digest::Reader value);
+  inline  ::carawaypond::peer::wire::Digest::Builder initDigest();
+  inline void adoptDigest(::capnp::Orphan< ::carawaypond::peer::wire::Digest>&& value);
+  inline ::capnp::Orphan< ::carawaypond::peer::wire::Digest> disownDigest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2025,14 +2422,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FetchIndexesResults::Pipeline {
+class Peer::ExchangeParams::Pipeline {
 public:
-  typedef FetchIndexesResults Pipelines;
+  typedef ExchangeParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::carawaypond::peer::wire::Digest::Pipeline getDigest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2041,9 +2439,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::RunParams::Reader {
+class Peer::ExchangeResults::Reader {
 public:
-  typedef RunParams Reads;
+  typedef ExchangeResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2058,10 +2456,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getExpected() const;
-
-  inline bool hasBatch() const;
-  inline  ::carawaypond::peer::wire::Batch::Reader getBatch() const;
+  inline bool hasDigest() const;
+  inline  ::carawaypond::peer::wire::Digest::Reader getDigest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2075,9 +2471,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::RunParams::Builder {
+class Peer::ExchangeResults::Builder {
 public:
-  typedef RunParams Builds;
+  typedef ExchangeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2091,15 +2487,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getExpected();
-  inline void setExpected( ::uint64_t value);
-
-  inline bool hasBatch();
-  inline  ::carawaypond::peer::wire::Batch::Builder getBatch();
-  inline void setBatch( ::carawaypond::peer::wire::Batch::Reader value);
-  inline  ::carawaypond::peer::wire::Batch::Builder initBatch();
-  inline void adoptBatch(::capnp::Orphan< ::carawaypond::peer::wire::Batch>&& value);
-  inline ::capnp::Orphan< ::carawaypond::peer::wire::Batch> disownBatch();
+  inline bool hasDigest();
+  inline  ::carawaypond::peer::wire::Digest::Builder getDigest();
+  inline void setDigest( ::carawaypond::peer::wire::Digest::Reader value);
+  inline  ::carawaypond::peer::wire::Digest::Builder initDigest();
+  inline void adoptDigest(::capnp::Orphan< ::carawaypond::peer::wire::Digest>&& value);
+  inline ::capnp::Orphan< ::carawaypond::peer::wire::Digest> disownDigest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2111,15 +2504,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::RunParams::Pipeline {
+class Peer::ExchangeResults::Pipeline {
 public:
-  typedef RunParams Pipelines;
+  typedef ExchangeResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::carawaypond::peer::wire::Batch::Pipeline getBatch();
+  inline  ::carawaypond::peer::wire::Digest::Pipeline getDigest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2128,9 +2521,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::RunResults::Reader {
+class Peer::FetchServicesParams::Reader {
 public:
-  typedef RunResults Reads;
+  typedef FetchServicesParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2145,10 +2538,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getAccepted() const;
-
-  inline bool hasReason() const;
-  inline  ::capnp::Text::Reader getReason() const;
+  inline bool hasNames() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getNames() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2162,9 +2553,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::RunResults::Builder {
+class Peer::FetchServicesParams::Builder {
 public:
-  typedef RunResults Builds;
+  typedef FetchServicesParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2178,15 +2569,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getAccepted();
-  inline void setAccepted(bool value);
-
-  inline bool hasReason();
-  inline  ::capnp::Text::Builder getReason();
-  inline void setReason( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initReason(unsigned int size);
-  inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownReason();
+  inline bool hasNames();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getNames();
+  inline void setNames( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setNames(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initNames(unsigned int size);
+  inline void adoptNames(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownNames();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2198,9 +2587,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::RunResults::Pipeline {
+class Peer::FetchServicesParams::Pipeline {
 public:
-  typedef RunResults Pipelines;
+  typedef FetchServicesParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2214,9 +2603,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::CancelParams::Reader {
+class Peer::FetchServicesResults::Reader {
 public:
-  typedef CancelParams Reads;
+  typedef FetchServicesResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2231,8 +2620,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasIds() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getIds() const;
+  inline bool hasObjects() const;
+  inline  ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader getObjects() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2246,9 +2635,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::CancelParams::Builder {
+class Peer::FetchServicesResults::Builder {
 public:
-  typedef CancelParams Builds;
+  typedef FetchServicesResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2262,13 +2651,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasIds();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getIds();
-  inline void setIds( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setIds(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initIds(unsigned int size);
-  inline void adoptIds(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownIds();
+  inline bool hasObjects();
+  inline  ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder getObjects();
+  inline void setObjects( ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder initObjects(unsigned int size);
+  inline void adoptObjects(::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>> disownObjects();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2280,9 +2668,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::CancelParams::Pipeline {
+class Peer::FetchServicesResults::Pipeline {
 public:
-  typedef CancelParams Pipelines;
+  typedef FetchServicesResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2296,9 +2684,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::CancelResults::Reader {
+class Peer::FetchIndexesParams::Reader {
 public:
-  typedef CancelResults Reads;
+  typedef FetchIndexesParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2313,6 +2701,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasNames() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getNames() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2325,9 +2716,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::CancelResults::Builder {
+class Peer::FetchIndexesParams::Builder {
 public:
-  typedef CancelResults Builds;
+  typedef FetchIndexesParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2341,6 +2732,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasNames();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getNames();
+  inline void setNames( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setNames(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initNames(unsigned int size);
+  inline void adoptNames(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownNames();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2351,9 +2750,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::CancelResults::Pipeline {
+class Peer::FetchIndexesParams::Pipeline {
 public:
-  typedef CancelResults Pipelines;
+  typedef FetchIndexesParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2367,9 +2766,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::QueryParams::Reader {
+class Peer::FetchIndexesResults::Reader {
 public:
-  typedef QueryParams Reads;
+  typedef FetchIndexesResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2384,15 +2783,91 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getExpected() const;
+  inline bool hasObjects() const;
+  inline  ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader getObjects() const;
 
-  inline bool hasTicket() const;
-  inline  ::capnp::Text::Reader getTicket() const;
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline  ::int64_t getDeadlineMillis() const;
+class Peer::FetchIndexesResults::Builder {
+public:
+  typedef FetchIndexesResults Builds;
 
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasObjects();
+  inline  ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder getObjects();
+  inline void setObjects( ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>::Builder initObjects(unsigned int size);
+  inline void adoptObjects(::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::StoredObject,  ::capnp::Kind::STRUCT>> disownObjects();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::FetchIndexesResults::Pipeline {
+public:
+  typedef FetchIndexesResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::RunParams::Reader {
+public:
+  typedef RunParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getExpected() const;
+
+  inline bool hasBatch() const;
+  inline  ::carawaypond::peer::wire::Batch::Reader getBatch() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2406,9 +2881,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::QueryParams::Builder {
+class Peer::RunParams::Builder {
 public:
-  typedef QueryParams Builds;
+  typedef RunParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2425,22 +2900,12 @@
   inline  ::uint64_t getExpected();
   inline void setExpected( ::uint64_t value);
 
-  inline bool hasTicket();
-  inline  ::capnp::Text::Builder getTicket();
-  inline void setTicket( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTicket(unsigned int size);
-  inline void adoptTicket(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTicket();
-
-  inline  ::int64_t getDeadlineMillis();
-  inline void setDeadlineMillis( ::int64_t value);
-
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+  inline bool hasBatch();
+  inline  ::carawaypond::peer::wire::Batch::Builder getBatch();
+  inline void setBatch( ::carawaypond::peer::wire::Batch::Reader value);
+  inline  ::carawaypond::peer::wire::Batch::Builder initBatch();
+  inline void adoptBatch(::capnp::Orphan< ::carawaypond::peer::wire::Batch>&& value);
+  inline ::capnp::Orphan< ::carawaypond::peer::wire::Batch> disownBatch();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2452,14 +2917,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::QueryParams::Pipeline {
+class Peer::RunParams::Pipeline {
 public:
-  typedef QueryParams Pipelines;
+  typedef RunParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::carawaypond::peer::wire::Batch::Pipeline getBatch();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2468,9 +2934,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::QueryResults::Reader {
+class Peer::RunResults::Reader {
 public:
-  typedef QueryResults Reads;
+  typedef RunResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2490,11 +2956,6 @@
   inline bool hasReason() const;
   inline  ::capnp::Text::Reader getReason() const;
 
-  inline  ::uint16_t getStatus() const;
-
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2507,9 +2968,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::QueryResults::Builder {
+class Peer::RunResults::Builder {
 public:
-  typedef QueryResults Builds;
+  typedef RunResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2533,16 +2994,6 @@
   inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownReason();
 
-  inline  ::uint16_t getStatus();
-  inline void setStatus( ::uint16_t value);
-
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2553,9 +3004,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::QueryResults::Pipeline {
+class Peer::RunResults::Pipeline {
 public:
-  typedef QueryResults Pipelines;
+  typedef RunResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2569,656 +3020,1891 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Peer::CancelParams::Reader {
+public:
+  typedef CancelParams Reads;
 
-inline bool Identity::Reader::hasVm() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Identity::Builder::hasVm() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Identity::Reader::getVm() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Identity::Builder::getVm() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Identity::Builder::setVm( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Identity::Builder::initVm(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Identity::Builder::adoptVm(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Identity::Builder::disownVm() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint64_t Identity::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasIds() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getIds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::CancelParams::Builder {
+public:
+  typedef CancelParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasIds();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getIds();
+  inline void setIds( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setIds(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initIds(unsigned int size);
+  inline void adoptIds(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownIds();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::CancelParams::Pipeline {
+public:
+  typedef CancelParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::CancelResults::Reader {
+public:
+  typedef CancelResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::CancelResults::Builder {
+public:
+  typedef CancelResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::CancelResults::Pipeline {
+public:
+  typedef CancelResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::QueryParams::Reader {
+public:
+  typedef QueryParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getExpected() const;
+
+  inline bool hasTicket() const;
+  inline  ::capnp::Text::Reader getTicket() const;
+
+  inline  ::int64_t getDeadlineMillis() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::QueryParams::Builder {
+public:
+  typedef QueryParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getExpected();
+  inline void setExpected( ::uint64_t value);
+
+  inline bool hasTicket();
+  inline  ::capnp::Text::Builder getTicket();
+  inline void setTicket( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTicket(unsigned int size);
+  inline void adoptTicket(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTicket();
+
+  inline  ::int64_t getDeadlineMillis();
+  inline void setDeadlineMillis( ::int64_t value);
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::QueryParams::Pipeline {
+public:
+  typedef QueryParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::QueryResults::Reader {
+public:
+  typedef QueryResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getAccepted() const;
+
+  inline bool hasReason() const;
+  inline  ::capnp::Text::Reader getReason() const;
+
+  inline  ::uint16_t getStatus() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::QueryResults::Builder {
+public:
+  typedef QueryResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
+
+  inline bool hasReason();
+  inline  ::capnp::Text::Builder getReason();
+  inline void setReason( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReason(unsigned int size);
+  inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReason();
+
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::QueryResults::Pipeline {
+public:
+  typedef QueryResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool Identity::Reader::hasVm() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Identity::Builder::hasVm() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Identity::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Identity::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Identity::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Identity::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Identity::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Identity::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Identity::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
 
 inline  ::uint64_t Identity::Builder::getIncarnation() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Identity::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Identity::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Subrequest::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Subrequest::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Subrequest::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Subrequest::Reader::getQueryId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Subrequest::Builder::getQueryId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Subrequest::Builder::setQueryId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Subrequest::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Subrequest::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Subrequest::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Subrequest::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Subrequest::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Subrequest::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Subrequest::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Subrequest::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Subrequest::Reader::hasCallerClass() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Subrequest::Builder::hasCallerClass() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Subrequest::Reader::getCallerClass() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Subrequest::Builder::getCallerClass() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Subrequest::Builder::setCallerClass( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Subrequest::Builder::initCallerClass(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Subrequest::Builder::adoptCallerClass(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Subrequest::Builder::disownCallerClass() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Subrequest::Reader::getShard() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Subrequest::Builder::getShard() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Subrequest::Builder::setShard( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Subrequest::Reader::getRepeatable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+}
+
+inline bool Subrequest::Builder::getRepeatable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+}
+inline void Subrequest::Builder::setRepeatable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Subrequest::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Subrequest::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Subrequest::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Subrequest::Reader::getLayout() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Subrequest::Builder::getLayout() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Subrequest::Builder::setLayout( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Subrequest::Reader::getDeadlineMillis() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Subrequest::Builder::getDeadlineMillis() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Subrequest::Builder::setDeadlineMillis( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Subrequest::Reader::getRequest() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Subrequest::Builder::getRequest() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void Subrequest::Builder::setRequest( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Subrequest::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Subrequest::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Subrequest::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Subrequest::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Subrequest::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Subrequest::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Subrequest::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Subrequest::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Batch::Reader::hasRequests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Batch::Builder::hasRequests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader Batch::Reader::getRequests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Batch::Builder::getRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Batch::Builder::setRequests( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Batch::Builder::setRequests(::kj::ArrayPtr<const  ::capnp::Data::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Batch::Builder::initRequests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Batch::Builder::adoptRequests(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> Batch::Builder::disownRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Batch::Reader::hasSubrequests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Batch::Builder::hasSubrequests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>::Reader Batch::Reader::getSubrequests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>::Builder Batch::Builder::getSubrequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Batch::Builder::setSubrequests( ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>::Builder Batch::Builder::initSubrequests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Batch::Builder::adoptSubrequests(
+    ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>> Batch::Builder::disownSubrequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t VersionRange::Reader::getLayout() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t VersionRange::Builder::getLayout() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void VersionRange::Builder::setLayout( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t VersionRange::Reader::getOldest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t VersionRange::Builder::getOldest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void VersionRange::Builder::setOldest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t VersionRange::Reader::getNewest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t VersionRange::Builder::getNewest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void VersionRange::Builder::setNewest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SubrequestResult::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SubrequestResult::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SubrequestResult::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::carawaypond::peer::wire::Outcome SubrequestResult::Reader::getOutcome() const {
+  return _reader.getDataField< ::carawaypond::peer::wire::Outcome>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::carawaypond::peer::wire::Outcome SubrequestResult::Builder::getOutcome() {
+  return _builder.getDataField< ::carawaypond::peer::wire::Outcome>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void SubrequestResult::Builder::setOutcome( ::carawaypond::peer::wire::Outcome value) {
+  _builder.setDataField< ::carawaypond::peer::wire::Outcome>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SubrequestResult::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SubrequestResult::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SubrequestResult::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SubrequestResult::Reader::getLayout() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SubrequestResult::Builder::getLayout() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SubrequestResult::Builder::setLayout( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SubrequestResult::Reader::hasPayload() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SubrequestResult::Builder::hasPayload() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader SubrequestResult::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder SubrequestResult::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SubrequestResult::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder SubrequestResult::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SubrequestResult::Builder::adoptPayload(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> SubrequestResult::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SubrequestResult::Reader::hasReason() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SubrequestResult::Builder::hasReason() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SubrequestResult::Reader::getReason() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SubrequestResult::Builder::getReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SubrequestResult::Builder::setReason( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SubrequestResult::Builder::initReason(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SubrequestResult::Builder::adoptReason(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SubrequestResult::Builder::disownReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Subrequest::Reader::getId() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool SubrequestResult::Reader::hasRanges() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Subrequest::Builder::getId() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool SubrequestResult::Builder::hasRanges() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void Subrequest::Builder::setId( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>::Reader SubrequestResult::Reader::getRanges() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Subrequest::Reader::getQueryId() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>::Builder SubrequestResult::Builder::getRanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SubrequestResult::Builder::setRanges( ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>::Builder SubrequestResult::Builder::initRanges(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void SubrequestResult::Builder::adoptRanges(
+    ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>> SubrequestResult::Builder::disownRanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Subrequest::Builder::getQueryId() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool SubrequestResult::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void Subrequest::Builder::setQueryId( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool SubrequestResult::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SubrequestResult::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SubrequestResult::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void SubrequestResult::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SubrequestResult::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void SubrequestResult::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SubrequestResult::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Subrequest::Reader::hasService() const {
+inline bool StoredObject::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Subrequest::Builder::hasService() {
+inline bool StoredObject::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Subrequest::Reader::getService() const {
+inline  ::capnp::Text::Reader StoredObject::Reader::getName() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Subrequest::Builder::getService() {
+inline  ::capnp::Text::Builder StoredObject::Builder::getName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Subrequest::Builder::setService( ::capnp::Text::Reader value) {
+inline void StoredObject::Builder::setName( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Subrequest::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder StoredObject::Builder::initName(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Subrequest::Builder::adoptService(
+inline void StoredObject::Builder::adoptName(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Subrequest::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> StoredObject::Builder::disownName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Subrequest::Reader::hasCallerClass() const {
+inline  ::uint64_t StoredObject::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StoredObject::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StoredObject::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StoredObject::Reader::hasJson() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Subrequest::Builder::hasCallerClass() {
+inline bool StoredObject::Builder::hasJson() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Subrequest::Reader::getCallerClass() const {
+inline  ::capnp::Data::Reader StoredObject::Reader::getJson() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder StoredObject::Builder::getJson() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StoredObject::Builder::setJson( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder StoredObject::Builder::initJson(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StoredObject::Builder::adoptJson(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> StoredObject::Builder::disownJson() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool VmRecord::Reader::hasIdentity() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool VmRecord::Builder::hasIdentity() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::carawaypond::peer::wire::Identity::Reader VmRecord::Reader::getIdentity() const {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Identity>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::carawaypond::peer::wire::Identity::Builder VmRecord::Builder::getIdentity() {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Identity>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::carawaypond::peer::wire::Identity::Pipeline VmRecord::Pipeline::getIdentity() {
+  return  ::carawaypond::peer::wire::Identity::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void VmRecord::Builder::setIdentity( ::carawaypond::peer::wire::Identity::Reader value) {
+  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Identity>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::carawaypond::peer::wire::Identity::Builder VmRecord::Builder::initIdentity() {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Identity>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VmRecord::Builder::adoptIdentity(
+    ::capnp::Orphan< ::carawaypond::peer::wire::Identity>&& value) {
+  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Identity>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::carawaypond::peer::wire::Identity> VmRecord::Builder::disownIdentity() {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Identity>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool VmRecord::Reader::hasCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool VmRecord::Builder::hasCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader VmRecord::Reader::getCentre() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Subrequest::Builder::getCallerClass() {
+inline  ::capnp::Text::Builder VmRecord::Builder::getCentre() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Subrequest::Builder::setCallerClass( ::capnp::Text::Reader value) {
+inline void VmRecord::Builder::setCentre( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Subrequest::Builder::initCallerClass(unsigned int size) {
+inline  ::capnp::Text::Builder VmRecord::Builder::initCentre(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Subrequest::Builder::adoptCallerClass(
+inline void VmRecord::Builder::adoptCentre(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Subrequest::Builder::disownCallerClass() {
+inline ::capnp::Orphan< ::capnp::Text> VmRecord::Builder::disownCentre() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Subrequest::Reader::getShard() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool VmRecord::Reader::hasPeerAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool VmRecord::Builder::hasPeerAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader VmRecord::Reader::getPeerAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder VmRecord::Builder::getPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void VmRecord::Builder::setPeerAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder VmRecord::Builder::initPeerAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void VmRecord::Builder::adoptPeerAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> VmRecord::Builder::disownPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Subrequest::Builder::getShard() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool VmRecord::Reader::hasCallerAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool VmRecord::Builder::hasCallerAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader VmRecord::Reader::getCallerAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder VmRecord::Builder::getCallerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void VmRecord::Builder::setCallerAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder VmRecord::Builder::initCallerAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void VmRecord::Builder::adoptCallerAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> VmRecord::Builder::disownCallerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool VmRecord::Reader::hasOperatorAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool VmRecord::Builder::hasOperatorAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader VmRecord::Reader::getOperatorAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder VmRecord::Builder::getOperatorAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void VmRecord::Builder::setOperatorAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder VmRecord::Builder::initOperatorAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void VmRecord::Builder::adoptOperatorAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Subrequest::Builder::setShard( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> VmRecord::Builder::disownOperatorAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool Subrequest::Reader::getRepeatable() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+inline  ::carawaypond::peer::wire::VmState VmRecord::Reader::getState() const {
+  return _reader.getDataField< ::carawaypond::peer::wire::VmState>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Subrequest::Builder::getRepeatable() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+inline  ::carawaypond::peer::wire::VmState VmRecord::Builder::getState() {
+  return _builder.getDataField< ::carawaypond::peer::wire::VmState>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Subrequest::Builder::setRepeatable(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<160>() * ::capnp::ELEMENTS, value);
+inline void VmRecord::Builder::setState( ::carawaypond::peer::wire::VmState value) {
+  _builder.setDataField< ::carawaypond::peer::wire::VmState>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Subrequest::Reader::getVersion() const {
+inline  ::uint64_t VmRecord::Reader::getCounter() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Subrequest::Builder::getVersion() {
+inline  ::uint64_t VmRecord::Builder::getCounter() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Subrequest::Builder::setVersion( ::uint64_t value) {
+inline void VmRecord::Builder::setCounter( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Subrequest::Reader::getLayout() const {
+inline  ::uint64_t VmRecord::Reader::getAgeMillis() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Subrequest::Builder::getLayout() {
+inline  ::uint64_t VmRecord::Builder::getAgeMillis() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Subrequest::Builder::setLayout( ::uint64_t value) {
+inline void VmRecord::Builder::setAgeMillis( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Subrequest::Reader::getDeadlineMillis() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline bool CentreHeard::Reader::hasCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int64_t Subrequest::Builder::getDeadlineMillis() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline bool CentreHeard::Builder::hasCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Subrequest::Builder::setDeadlineMillis( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader CentreHeard::Reader::getCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CentreHeard::Builder::getCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CentreHeard::Builder::setCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CentreHeard::Builder::initCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CentreHeard::Builder::adoptCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CentreHeard::Builder::disownCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Subrequest::Reader::getRequest() const {
+inline  ::uint32_t CentreHeard::Reader::getHeard() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Subrequest::Builder::getRequest() {
+inline  ::uint32_t CentreHeard::Builder::getHeard() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Subrequest::Builder::setRequest( ::uint32_t value) {
+inline void CentreHeard::Builder::setHeard( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Subrequest::Reader::hasServer() const {
+inline  ::uint64_t CentreHeard::Reader::getAgeMillis() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CentreHeard::Builder::getAgeMillis() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CentreHeard::Builder::setAgeMillis( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Held::Reader::hasName() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Subrequest::Builder::hasServer() {
+inline bool Held::Builder::hasName() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Subrequest::Reader::getServer() const {
+inline  ::capnp::Text::Reader Held::Reader::getName() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Subrequest::Builder::getServer() {
+inline  ::capnp::Text::Builder Held::Builder::getName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Subrequest::Builder::setServer( ::capnp::Text::Reader value) {
+inline void Held::Builder::setName( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Subrequest::Builder::initServer(unsigned int size) {
+inline  ::capnp::Text::Builder Held::Builder::initName(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Subrequest::Builder::adoptServer(
+inline void Held::Builder::adoptName(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Subrequest::Builder::disownServer() {
+inline ::capnp::Orphan< ::capnp::Text> Held::Builder::disownName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Batch::Reader::hasRequests() const {
+inline  ::uint64_t Held::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Held::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Held::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool DrainSign::Reader::hasServer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Batch::Builder::hasRequests() {
+inline bool DrainSign::Builder::hasServer() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader Batch::Reader::getRequests() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader DrainSign::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Batch::Builder::getRequests() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder DrainSign::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Batch::Builder::setRequests( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline void Batch::Builder::setRequests(::kj::ArrayPtr<const  ::capnp::Data::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+inline void DrainSign::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Batch::Builder::initRequests(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder DrainSign::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Batch::Builder::adoptRequests(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+inline void DrainSign::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> Batch::Builder::disownRequests() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> DrainSign::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Batch::Reader::hasSubrequests() const {
+inline bool DrainSign::Reader::hasOrigin() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Batch::Builder::hasSubrequests() {
+inline bool DrainSign::Builder::hasOrigin() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>::Reader Batch::Reader::getSubrequests() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader DrainSign::Reader::getOrigin() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>::Builder Batch::Builder::getSubrequests() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder DrainSign::Builder::getOrigin() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Batch::Builder::setSubrequests( ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void DrainSign::Builder::setOrigin( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>::Builder Batch::Builder::initSubrequests(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder DrainSign::Builder::initOrigin(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Batch::Builder::adoptSubrequests(
-    ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void DrainSign::Builder::adoptOrigin(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>> Batch::Builder::disownSubrequests() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Subrequest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> DrainSign::Builder::disownOrigin() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t VersionRange::Reader::getLayout() const {
+inline  ::uint64_t DrainSign::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t VersionRange::Builder::getLayout() {
+inline  ::uint64_t DrainSign::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void VersionRange::Builder::setLayout( ::uint64_t value) {
+inline void DrainSign::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t VersionRange::Reader::getOldest() const {
+inline  ::uint64_t DrainSign::Reader::getAgeMillis() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t VersionRange::Builder::getOldest() {
+inline  ::uint64_t DrainSign::Builder::getAgeMillis() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void VersionRange::Builder::setOldest( ::uint64_t value) {
+inline void DrainSign::Builder::setAgeMillis( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t VersionRange::Reader::getNewest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool DrainSign::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t VersionRange::Builder::getNewest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool DrainSign::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
-inline void VersionRange::Builder::setNewest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void DrainSign::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t SubrequestResult::Reader::getId() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ReplicaVersions::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t SubrequestResult::Builder::getId() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ReplicaVersions::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void SubrequestResult::Builder::setId( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader ReplicaVersions::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::carawaypond::peer::wire::Outcome SubrequestResult::Reader::getOutcome() const {
-  return _reader.getDataField< ::carawaypond::peer::wire::Outcome>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder ReplicaVersions::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ReplicaVersions::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ReplicaVersions::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ReplicaVersions::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ReplicaVersions::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::carawaypond::peer::wire::Outcome SubrequestResult::Builder::getOutcome() {
-  return _builder.getDataField< ::carawaypond::peer::wire::Outcome>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool ReplicaVersions::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void SubrequestResult::Builder::setOutcome( ::carawaypond::peer::wire::Outcome value) {
-  _builder.setDataField< ::carawaypond::peer::wire::Outcome>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline bool ReplicaVersions::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ReplicaVersions::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ReplicaVersions::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ReplicaVersions::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ReplicaVersions::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ReplicaVersions::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ReplicaVersions::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t SubrequestResult::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ReplicaVersions::Reader::getShard() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SubrequestResult::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ReplicaVersions::Builder::getShard() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SubrequestResult::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void ReplicaVersions::Builder::setShard( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t SubrequestResult::Reader::getLayout() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool ReplicaVersions::Reader::hasRanges() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t SubrequestResult::Builder::getLayout() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool ReplicaVersions::Builder::hasRanges() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void SubrequestResult::Builder::setLayout( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>::Reader ReplicaVersions::Reader::getRanges() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>::Builder ReplicaVersions::Builder::getRanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ReplicaVersions::Builder::setRanges( ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>::Builder ReplicaVersions::Builder::initRanges(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ReplicaVersions::Builder::adoptRanges(
+    ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>> ReplicaVersions::Builder::disownRanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool SubrequestResult::Reader::hasPayload() const {
+inline bool Digest::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SubrequestResult::Builder::hasPayload() {
+inline bool Digest::Builder::hasSender() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader SubrequestResult::Reader::getPayload() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::carawaypond::peer::wire::VmRecord::Reader Digest::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::VmRecord>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder SubrequestResult::Builder::getPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::carawaypond::peer::wire::VmRecord::Builder Digest::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::VmRecord>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SubrequestResult::Builder::setPayload( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::carawaypond::peer::wire::VmRecord::Pipeline Digest::Pipeline::getSender() {
+  return  ::carawaypond::peer::wire::VmRecord::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Digest::Builder::setSender( ::carawaypond::peer::wire::VmRecord::Reader value) {
+  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::VmRecord>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder SubrequestResult::Builder::initPayload(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::carawaypond::peer::wire::VmRecord::Builder Digest::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::VmRecord>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SubrequestResult::Builder::adoptPayload(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void Digest::Builder::adoptSender(
+    ::capnp::Orphan< ::carawaypond::peer::wire::VmRecord>&& value) {
+  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::VmRecord>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> SubrequestResult::Builder::disownPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::carawaypond::peer::wire::VmRecord> Digest::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::VmRecord>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SubrequestResult::Reader::hasReason() const {
+inline bool Digest::Reader::hasVms() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool SubrequestResult::Builder::hasReason() {
+inline bool Digest::Builder::hasVms() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SubrequestResult::Reader::getReason() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::carawaypond::peer::wire::VmRecord,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getVms() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VmRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SubrequestResult::Builder::getReason() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::carawaypond::peer::wire::VmRecord,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VmRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SubrequestResult::Builder::setReason( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Digest::Builder::setVms( ::capnp::List< ::carawaypond::peer::wire::VmRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VmRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SubrequestResult::Builder::initReason(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::carawaypond::peer::wire::VmRecord,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initVms(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VmRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void SubrequestResult::Builder::adoptReason(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Digest::Builder::adoptVms(
+    ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::VmRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VmRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SubrequestResult::Builder::disownReason() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::VmRecord,  ::capnp::Kind::STRUCT>> Digest::Builder::disownVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VmRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool SubrequestResult::Reader::hasRanges() const {
+inline bool Digest::Reader::hasCentres() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool SubrequestResult::Builder::hasRanges() {
+inline bool Digest::Builder::hasCentres() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>::Reader SubrequestResult::Reader::getRanges() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::carawaypond::peer::wire::CentreHeard,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getCentres() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::CentreHeard,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>::Builder SubrequestResult::Builder::getRanges() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::carawaypond::peer::wire::CentreHeard,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getCentres() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::CentreHeard,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void SubrequestResult::Builder::setRanges( ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Digest::Builder::setCentres( ::capnp::List< ::carawaypond::peer::wire::CentreHeard,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::CentreHeard,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>::Builder SubrequestResult::Builder::initRanges(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::carawaypond::peer::wire::CentreHeard,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initCentres(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::CentreHeard,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void SubrequestResult::Builder::adoptRanges(
-    ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Digest::Builder::adoptCentres(
+    ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::CentreHeard,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::CentreHeard,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>> SubrequestResult::Builder::disownRanges() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::VersionRange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::CentreHeard,  ::capnp::Kind::STRUCT>> Digest::Builder::disownCentres() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::CentreHeard,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool SubrequestResult::Reader::hasServer() const {
+inline bool Digest::Reader::hasConfigs() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool SubrequestResult::Builder::hasServer() {
+inline bool Digest::Builder::hasConfigs() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SubrequestResult::Reader::getServer() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getConfigs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SubrequestResult::Builder::getServer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getConfigs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void SubrequestResult::Builder::setServer( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Digest::Builder::setConfigs( ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SubrequestResult::Builder::initServer(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initConfigs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void SubrequestResult::Builder::adoptServer(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Digest::Builder::adoptConfigs(
+    ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SubrequestResult::Builder::disownServer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>> Digest::Builder::disownConfigs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool StoredObject::Reader::hasName() const {
+inline  ::uint64_t Digest::Reader::getConfigCount() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Digest::Builder::getConfigCount() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setConfigCount( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Digest::Reader::getConfigFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Digest::Builder::getConfigFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setConfigFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Digest::Reader::hasDrains() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoredObject::Builder::hasName() {
+inline bool Digest::Builder::hasDrains() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StoredObject::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::carawaypond::peer::wire::DrainSign,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getDrains() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::DrainSign,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StoredObject::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::carawaypond::peer::wire::DrainSign,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getDrains() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::DrainSign,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void StoredObject::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Digest::Builder::setDrains( ::capnp::List< ::carawaypond::peer::wire::DrainSign,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::DrainSign,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StoredObject::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::carawaypond::peer::wire::DrainSign,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initDrains(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::DrainSign,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void StoredObject::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Digest::Builder::adoptDrains(
+    ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::DrainSign,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::DrainSign,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StoredObject::Builder::disownName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::DrainSign,  ::capnp::Kind::STRUCT>> Digest::Builder::disownDrains() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::DrainSign,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t StoredObject::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Digest::Reader::hasIndexes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t StoredObject::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Digest::Builder::hasIndexes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline void StoredObject::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getIndexes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getIndexes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::setIndexes( ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initIndexes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Digest::Builder::adoptIndexes(
+    ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>> Digest::Builder::disownIndexes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::Held,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool StoredObject::Reader::hasJson() const {
+inline bool Digest::Reader::hasVersions() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoredObject::Builder::hasJson() {
+inline bool Digest::Builder::hasVersions() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader StoredObject::Reader::getJson() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getVersions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder StoredObject::Builder::getJson() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void StoredObject::Builder::setJson( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Digest::Builder::setVersions( ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder StoredObject::Builder::initJson(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initVersions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void StoredObject::Builder::adoptJson(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Digest::Builder::adoptVersions(
+    ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> StoredObject::Builder::disownJson() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>> Digest::Builder::disownVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool Digest::Reader::getStoreReachable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Digest::Builder::getStoreReachable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setStoreReachable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Digest::Reader::getInformed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool Digest::Builder::getInformed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setInformed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Digest::Reader::getStoreAgeMillis() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Digest::Builder::getStoreAgeMillis() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setStoreAgeMillis( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Digest::Reader::getServeMillis() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Digest::Builder::getServeMillis() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setServeMillis( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 #if !CAPNP_LITE
@@ -3442,29 +5128,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Peer::ExchangeParams::Reader::getDigest() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::carawaypond::peer::wire::Digest::Reader Peer::ExchangeParams::Reader::getDigest() const {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Digest>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Peer::ExchangeParams::Builder::getDigest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::carawaypond::peer::wire::Digest::Builder Peer::ExchangeParams::Builder::getDigest() {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Digest>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ExchangeParams::Builder::setDigest( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::carawaypond::peer::wire::Digest::Pipeline Peer::ExchangeParams::Pipeline::getDigest() {
+  return  ::carawaypond::peer::wire::Digest::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::ExchangeParams::Builder::setDigest( ::carawaypond::peer::wire::Digest::Reader value) {
+  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Digest>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Peer::ExchangeParams::Builder::initDigest(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::carawaypond::peer::wire::Digest::Builder Peer::ExchangeParams::Builder::initDigest() {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Digest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::ExchangeParams::Builder::adoptDigest(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::carawaypond::peer::wire::Digest>&& value) {
+  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Digest>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Peer::ExchangeParams::Builder::disownDigest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::carawaypond::peer::wire::Digest> Peer::ExchangeParams::Builder::disownDigest() {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Digest>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
