@@ -3476,29 +5167,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Peer::ExchangeResults::Reader::getDigest() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::carawaypond::peer::wire::Digest::Reader Peer::ExchangeResults::Reader::getDigest() const {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Digest>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Peer::ExchangeResults::Builder::getDigest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::carawaypond::peer::wire::Digest::Builder Peer::ExchangeResults::Builder::getDigest() {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Digest>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ExchangeResults::Builder::setDigest( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::carawaypond::peer::wire::Digest::Pipeline Peer::ExchangeResults::Pipeline::getDigest() {
+  return  ::carawaypond::peer::wire::Digest::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::ExchangeResults::Builder::setDigest( ::carawaypond::peer::wire::Digest::Reader value) {
+  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Digest>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Peer::ExchangeResults::Builder::initDigest(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::carawaypond::peer::wire::Digest::Builder Peer::ExchangeResults::Builder::initDigest() {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Digest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::ExchangeResults::Builder::adoptDigest(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::carawaypond::peer::wire::Digest>&& value) {
+  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Digest>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Peer::ExchangeResults::Builder::disownDigest() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::carawaypond::peer::wire::Digest> Peer::ExchangeResults::Builder::disownDigest() {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Digest>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- a/packages/peer/src/peer/session/PeerServer.cpp
+++ b/packages/peer/src/peer/session/PeerServer.cpp
@@ -1,6 +1,7 @@
 #include "peer/session/PeerServer.h"
 
 #include "peer/codec/Bytes.h"
+#include "peer/codec/DigestCodec.h"
 #include "peer/codec/ObjectCodec.h"
 #include "peer/codec/SubrequestCodec.h"
 #include "peer/loop/PendingReply.h"
@@ -54,10 +55,14 @@
   const PeerIdentity &From = caller();
   KJ_REQUIRE(bool(m_Context.Handlers.OnExchange),
              "no digests are exchanged here");
-  std::string Digest = toString(Context.getParams().getDigest());
-  std::string Answer = m_Context.Handlers.OnExchange(From, Digest);
-  Context.getResults().setDigest(toData(Answer));
-  return kj::READY_NOW;
+  auto Pending = PendingReply<Digest>::make(m_Context.Queue);
+  m_Context.Handlers.OnExchange(From,
+                                readDigest(Context.getParams().getDigest()),
+                                std::move(Pending.OnReply));
+  return Pending.Outcome.then([Context](kj::Own<Result<Digest>> Own) mutable {
+    KJ_REQUIRE(Own->has_value(), "no digest can be had", Own->error().Message);
+    writeDigest(Own->value(), Context.getResults().initDigest());
+  });
 }
 
 kj::Promise<void> PeerServer::fetchServices(FetchServicesContext Context) {
