--- a/packages/peer/test/peer/node/NodeFixture.h
+++ b/packages/peer/test/peer/node/NodeFixture.h
@@ -5,8 +5,10 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -50,8 +52,11 @@
 private:
   PeerHandlers handlers() {
     PeerHandlers Handlers;
-    Handlers.OnExchange = [](const PeerIdentity &From, const std::string &In) {
-      return From.Vm.value() + ":" + In;
+    Handlers.OnExchange = [](const PeerIdentity &From, const Digest &In,
+                             const Reply<Digest> &OnReply) {
+      Digest Answer = In;
+      Answer.Sender.Name = From.Vm;
+      OnReply(std::move(Answer));
     };
     Handlers.OnFetchServices = [](PeerHandlers::Names Names, auto OnReply) {
       std::vector<StoredObject> Objects;
@@ -74,7 +79,8 @@
   }
 };
 
-/// @brief The coordinator's side of runs.
+/// @brief The coordinator's side of runs. Declared before its node, whose end
+/// reports what was lost.
 struct Observed {
   Mailbox<PeerResult> Results;
   Mailbox<Loss> Losses;
@@ -89,6 +95,24 @@
   }
 };
 
+/// @brief Asks again and again whether something holds, for a generous time.
+inline bool eventually(const std::function<bool()> &Holds) {
+  TimePoint GiveUp = monotonicNow() + Generous;
+  while (!Holds()) {
+    if (monotonicNow() > GiveUp)
+      return false;
+    std::this_thread::sleep_for(Milliseconds(1));
+  }
+  return true;
+}
+
+/// @brief A digest that tests tell by @p Mark.
+inline Digest markedDigest(std::uint64_t Mark) {
+  Digest Made;
+  Made.ConfigFingerprint = Mark;
+  return Made;
+}
+
 inline std::vector<PeerSubrequest>
 makeBatch(std::uint64_t FirstId, std::size_t Count,
           std::int64_t InMillis = FarDeadlineMillis) {
