--- /dev/null
+++ b/packages/daemon/src/daemon/control/fwd.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace carawaypond::daemon {
+
+class ControlNode;
+class IndexBook;
+class OperatorApi;
+class PeerExchange;
+class StoreReader;
+class SubmissionRunner;
+class VersionTable;
+struct ControlState;
+
+} // namespace carawaypond::daemon
--- a/packages/daemon/src/daemon/settings/Settings.cpp
+++ b/packages/daemon/src/daemon/settings/Settings.cpp
@@ -102,6 +102,18 @@
   return Limits;
 }
 
+std::vector<std::string> readSeeds(JsonReader &Reader) {
+  std::vector<std::string> Seeds;
+  if (!Reader.has("seeds"))
+    return Seeds;
+  for (const nlohmann::json &Seed : Reader.array("seeds")) {
+    Seeds.push_back(Seed.is_string() ? Seed.get<std::string>() : "");
+    if (!isAddress(Seeds.back()))
+      Reader.fail("seeds", "must hold IP addresses with ports");
+  }
+  return Seeds;
+}
+
 LogSettings readLog(JsonReader &Reader) {
   LogSettings Log;
   if (!Reader.has("log"))
@@ -125,7 +137,7 @@
 Result<Settings> parseSettings(const nlohmann::json &Value) {
   JsonReader Reader(Value, "");
   Reader.allowOnly({"vm", "data_centre", "listen", "platform", "policy",
-                    "callers", "log", "address_lifetime_ms"});
+                    "callers", "log", "address_lifetime_ms", "seeds"});
   Settings Parsed;
   Parsed.Vm = VmName(Reader.string("vm", 1, 64));
   if (Parsed.Vm.value().find('.') != std::string::npos)
@@ -139,6 +151,7 @@
   Parsed.AddressLifetime =
       readMillis(Reader, "address_lifetime_ms", MaxAddressLifetimeMillis,
                  Parsed.AddressLifetime);
+  Parsed.Seeds = readSeeds(Reader);
   if (Reader.error())
     return boost::outcome_v2::failure(*Reader.error());
   return Parsed;
--- a/packages/daemon/src/daemon/settings/Settings.h
+++ b/packages/daemon/src/daemon/settings/Settings.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <string>
+#include <vector>
 
 namespace carawaypond::daemon {
 
@@ -56,6 +57,8 @@
   CallerLimits Callers;
   LogSettings Log;
   Milliseconds AddressLifetime{5000};
+  /// Peer ports to ask for the other VMs while the VM list can't be read.
+  std::vector<std::string> Seeds;
 };
 
 /// @brief Reads settings and checks them.
--- a/packages/daemon/src/daemon/traffic/BackendFleet.cpp
+++ b/packages/daemon/src/daemon/traffic/BackendFleet.cpp
@@ -108,14 +108,18 @@
   m_OnChange(Server, State);
 }
 
-void BackendFleet::noteDraining(const ServerName &Server) {
+void BackendFleet::noteDraining(const ServerName &Server, bool Draining) {
   auto Found = m_Servers.find(Server);
-  if (Found == m_Servers.end() || Found->second.SaidLeaving)
+  if (Found == m_Servers.end())
+    return;
+  m_Context.OnDrainSign(Server, Draining);
+  if (Found->second.SaidLeaving == Draining)
     return;
-  LOG4CXX_INFO(logger(), "backend server is draining server=" << Server);
-  Found->second.SaidLeaving = true;
-  m_Context.OnDrainSign(Server);
-  setState(Server, ServerState::Leaving);
+  LOG4CXX_INFO(logger(), "backend server says server="
+                             << Server << " draining=" << Draining);
+  Found->second.SaidLeaving = Draining;
+  if (Draining)
+    setState(Server, ServerState::Leaving);
 }
 
 void BackendFleet::noteReachable(const ServerName &Server, bool Reachable) {
@@ -133,7 +137,7 @@
 void BackendFleet::noteOutcome(const ServerName &Server,
                                const backend::SearchOutcome &Outcome) {
   if (std::visit(DrainingVisitor{}, Outcome))
-    noteDraining(Server);
+    noteDraining(Server, true);
   const auto *NotSent = std::get_if<backend::SearchNotSent>(&Outcome);
   if (!NotSent || NotSent->Cause.Code != ErrorCode::NotConnected)
     return;
@@ -187,8 +191,8 @@
   bool IsBusy = !Status && Status.error().Code == ErrorCode::Unavailable;
   if (!IsBusy)
     noteReachable(Server, Status.has_value());
-  if (Status && Status.value().Draining)
-    noteDraining(Server);
+  if (Status)
+    noteDraining(Server, Status.value().Draining);
   co_return Status;
 }
 
--- a/packages/daemon/src/daemon/traffic/BackendFleet.h
+++ b/packages/daemon/src/daemon/traffic/BackendFleet.h
@@ -62,7 +62,7 @@
   void applyServer(const ServerInfo &Info, const ControlView &View,
                    const std::vector<VmName> &MayConnect);
   void setState(const ServerName &Server, ServerState State);
-  void noteDraining(const ServerName &Server);
+  void noteDraining(const ServerName &Server, bool Draining);
   void noteReachable(const ServerName &Server, bool Reachable);
   void noteOutcome(const ServerName &Server,
                    const backend::SearchOutcome &Outcome);
--- a/packages/daemon/src/daemon/traffic/RemoteOwners.h
+++ b/packages/daemon/src/daemon/traffic/RemoteOwners.h
@@ -35,6 +35,9 @@
   RemoteOwners(TrafficContext &Context, ServiceTable &Services,
                OwnerRunner &Owned);
 
+  /// @return Other VMs' subrequests under way here.
+  [[nodiscard]] std::size_t inFlight() const { return m_Foreign.size(); }
+
   /// @brief Uses @p Node for calls from now on.
   void attach(peer::PeerNode &Node) { m_Node = &Node; }
 
--- a/packages/daemon/src/daemon/traffic/TicketDesk.cpp
+++ b/packages/daemon/src/daemon/traffic/TicketDesk.cpp
@@ -53,6 +53,8 @@
   if (!View->Services.contains(Service))
     return notRun(404, "not_found",
                   "service \"" + Service.value() + "\" does not exist");
+  if (!View->GivesTickets)
+    return notRun(503, "leaving", "this VM gives out no tickets now");
   Result<Ticket> Issued = m_Book.issue(Service, monotonicNow());
   if (!Issued)
     return notRun(503, "overloaded", Issued.error().Message);
--- a/packages/daemon/src/daemon/traffic/TrafficContext.h
+++ b/packages/daemon/src/daemon/traffic/TrafficContext.h
@@ -20,8 +20,8 @@
   ViewHolder &Views;
   Metrics &Collected;
   SerialIds<SubrequestId> Ids;
-  /// Tells the control thread that a backend server said it is leaving.
-  std::function<void(const ServerName &)> OnDrainSign;
+  /// Tells the control thread whether a backend server says it is leaving.
+  std::function<void(const ServerName &, bool)> OnDrainSign;
 };
 
 } // namespace carawaypond::daemon
--- a/packages/daemon/src/daemon/traffic/TrafficNode.cpp
+++ b/packages/daemon/src/daemon/traffic/TrafficNode.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
 
 namespace carawaypond::daemon {
 
@@ -43,7 +44,11 @@
       m_Remote(m_Context, m_Services, m_Owned),
       m_Queries(m_Context, m_Services, m_Owned, m_Remote),
       m_Tickets(m_Context, m_Queries),
-      m_Api(m_Context, m_Queries, m_Tickets, std::move(Handlers.Addresses)),
+      m_Addresses({.Lifetime = Config.AddressLifetime}),
+      m_Api(m_Context, m_Queries, m_Tickets,
+            [this](const http::Request &Request) {
+              return addresses(Request);
+            }),
       m_Poller(m_Context, m_Services, m_Fleet, std::move(Handlers.OnVersions)) {
 }
 
@@ -91,6 +96,35 @@
   }
 }
 
+http::Response TrafficNode::addresses(const http::Request &Request) {
+  AddressQuestion Question{.Caller = Request.RemoteAddress};
+  if (std::optional<std::string> Centre =
+          Request.queryParameter("data_centre"))
+    Question.Centre = DataCentre(*Centre);
+  std::shared_ptr<const ControlView> View = m_Context.Views.current();
+  AddressAnswer Answer =
+      m_Addresses.answer(Question, View->Self, View->Others);
+  nlohmann::json Body = {{"addresses", Answer.Addresses},
+                         {"valid_ms", Answer.Valid.count()},
+                         {"data_centre", m_Context.Config.Centre.value()}};
+  return {.Status = 200, .Body = Body.dump()};
+}
+
+std::size_t TrafficNode::busy() const {
+  return m_Listener->stats().Open + m_Remote.inFlight();
+}
+
+void TrafficNode::countListener() {
+  http::ListenerStats Stats = m_Listener->stats();
+  Metrics &Collected = m_Context.Collected;
+  Collected.set("caller_connections_total", Stats.Accepted);
+  Collected.set("caller_connections_refused_total", Stats.Refused);
+  Collected.set("caller_requests_malformed_total", Stats.Malformed);
+  Collected.set("caller_requests_oversized_total", Stats.Oversized);
+  Collected.set("caller_requests_timed_out_total", Stats.TimedOut);
+  Collected.set("caller_connections_open", Stats.Open);
+}
+
 void TrafficNode::beginDraining() { m_Listener->setDraining(true); }
 
 void TrafficNode::closeListener() {
@@ -105,6 +139,7 @@
     co_await Timer.async_wait(asio::use_awaitable);
     m_Owned.dropUnused();
     m_Fleet.closeIdle();
+    countListener();
     m_Context.Collected.set("backend_connections_opened_total",
                             m_Fleet.connectionsOpened());
   }
--- a/packages/daemon/src/daemon/traffic/TrafficNode.h
+++ b/packages/daemon/src/daemon/traffic/TrafficNode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/addresses/AddressBook.h"
 #include "daemon/traffic/BackendFleet.h"
 #include "daemon/traffic/CallerApi.h"
 #include "daemon/traffic/OwnerRunner.h"
@@ -22,9 +23,8 @@
 /// @brief What a traffic thread tells the control thread. The functions are
 /// called on the traffic thread.
 struct TrafficHandlers {
-  std::function<void(const ServerName &)> OnDrainSign;
+  std::function<void(const ServerName &, bool)> OnDrainSign;
   StatusPoller::VersionsHandler OnVersions;
-  CallerApi::AddressSource Addresses;
 };
 
 /// @brief All that one traffic thread does: callers' queries, and the
@@ -38,6 +38,9 @@
   /// @return The callers' address, once start() has succeeded.
   [[nodiscard]] std::string address() const;
   [[nodiscard]] http::ListenerStats listenerStats() const;
+  /// @return Callers' connections and other VMs' subrequests. Call it on the
+  /// traffic thread.
+  [[nodiscard]] std::size_t busy() const;
 
   /// @brief Opens the callers' port and begins to work. Call it before the
   /// thread runs.
@@ -61,6 +64,8 @@
 
 private:
   boost::asio::awaitable<void> keepHouse();
+  [[nodiscard]] http::Response addresses(const http::Request &Request);
+  void countListener();
 
   TrafficContext m_Context;
   ServiceTable m_Services;
@@ -69,6 +74,7 @@
   RemoteOwners m_Remote;
   QueryRunner m_Queries;
   TicketDesk m_Tickets;
+  AddressBook m_Addresses;
   CallerApi m_Api;
   StatusPoller m_Poller;
   std::unique_ptr<http::Listener> m_Listener;
--- a/packages/daemon/src/daemon/view/ControlView.h
+++ b/packages/daemon/src/daemon/view/ControlView.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/membership/VmRecord.h"
 #include "coordination/model/IndexObject.h"
 #include "coordination/model/StoredService.h"
 #include "core/id/Ids.h"
@@ -20,7 +21,6 @@
   Incarnation Life;
   DataCentre Centre;
   std::string PeerAddress;
-  std::string CallerAddress;
   bool MayOwn = false; ///< Live, and not leaving.
 };
 
@@ -37,7 +37,9 @@
   std::map<ServiceName, ServiceView> Services;
   std::vector<VmView> Vms; ///< This VM included.
   std::set<ServerName> LeavingServers;
-  bool Leaving = false; ///< This VM is stopping.
+  VmRecord Self;                ///< For address answers.
+  std::vector<VmRecord> Others; ///< For address answers.
+  bool GivesTickets = false;    ///< Not while starting or leaving.
 
   /// @return The VM of that name, or nullptr.
   [[nodiscard]] const VmView *findVm(const VmName &Name) const;
