--- a/packages/http/src/http/ListenerOptions.h
+++ b/packages/http/src/http/ListenerOptions.h
@@ -9,7 +9,7 @@
 
 /// @brief Where a Listener listens and what it allows.
 struct ListenerOptions {
-  std::string Address; ///< "ip:port"; the system picks for port 0.
+  std::string Address = "127.0.0.1:0"; ///< The system picks for port 0.
   std::size_t MaxBodyBytes = std::size_t{1} << 20;
   std::size_t MaxHeaderBytes = std::size_t{8} << 10;
   Milliseconds HeaderTimeout{5'000}; ///< From a request's first byte.
--- a/packages/http/test/http/KeepAliveTest.cpp
+++ b/packages/http/test/http/KeepAliveTest.cpp
@@ -1,4 +1,5 @@
 #include "Loop.h"
+#include "Raw.h"
 
 #include "http/http.h"
 
@@ -17,8 +18,6 @@
   co_return Answer;
 }
 
-TimePoint soon() { return monotonicNow() + std::chrono::seconds(30); }
-
 } // namespace
 
 TEST_CASE("one connection carries many requests") {
