ctl: carawayctl, the operators' command line

Operators change services only by numbered patches and need to know which of four things happened: accepted, refused as stale or invalid, surely not taken, or unknown. Each has an exit code. A submission is sent to the next VM only while it is certain that none runs it; after a lost answer, a 504 or a 500 it is never sent again, but asked for by its id until the timeout. Sending it again with the same id was ruled out: it would lean on every VM's memory of ids, where a question needs only the stored object.

--- /dev/null
+++ b/packages/ctl/src/ctl/ForceWaiter.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "core/time/Time.h"
+#include "ctl/Command.h"
+#include "ctl/OperatorClient.h"
+#include "ctl/Report.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace carawaypond::ctl {
+
+/// @brief Asks until a service's version is in force on every live VM.
+class ForceWaiter {
+public:
+  explicit ForceWaiter(OperatorClient &Client) : m_Client(Client) {}
+
+  boost::asio::awaitable<Report> wait(WaitForService Wanted,
+                                      TimePoint Deadline);
+
+private:
+  OperatorClient &m_Client;
+};
+
+} // namespace carawaypond::ctl
--- /dev/null
+++ b/packages/ctl/src/ctl/Help.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string_view>
+
+namespace carawaypond::ctl {
+
+/// @return What --help prints.
+[[nodiscard]] std::string_view helpText();
+
+/// @return What --version prints.
+[[nodiscard]] std::string_view versionText();
+
+} // namespace carawaypond::ctl
--- /dev/null
+++ b/packages/ctl/src/ctl/fwd.h
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace carawaypond::ctl {
+
+class ForceWaiter;
+class OperatorClient;
+class Submitter;
+class Table;
+struct GlobalOptions;
+struct Invocation;
+struct Report;
+
+} // namespace carawaypond::ctl
--- /dev/null
+++ b/packages/ctl/test/ctl/RunnerTest.cpp
@@ -0,0 +1,216 @@
+#include "FakeVm.h"
+
+#include "ctl/ctl.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <sstream>
+
+using namespace carawaypond;
+using namespace carawaypond::ctl;
+
+namespace {
+
+struct Ended {
+  ExitCode Code;
+  std::string Out;
+  std::string Err;
+};
+
+const std::string Content = R"({"name": "claims", "index": "claims"})";
+
+/// @brief Runs the program as a shell would, with @p Input to read.
+Ended run(const std::string &Operators, std::vector<std::string> Arguments,
+          const std::string &Input = "") {
+  std::istringstream In(Input);
+  std::ostringstream Out;
+  std::ostringstream Err;
+  Arguments.insert(Arguments.begin(), {"--operator", Operators});
+  int Code = runProgram(Arguments, {.In = In, .Out = Out, .Err = Err});
+  return {static_cast<ExitCode>(Code), Out.str(), Err.str()};
+}
+
+Ended patch(const std::string &Operators,
+            std::vector<std::string> Further = {}) {
+  Further.insert(Further.begin(),
+                 {"service", "patch", "claims", "--version", "7", "--patch=-"});
+  return run(Operators, std::move(Further), R"({"hedge_quantile": 0.9})");
+}
+
+bool contains(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("a patch carries the version last read and a new submission id") {
+  FakeVm Vm(200, R"({"outcome": "accepted", "version": 8})");
+  Ended First = patch(Vm.address());
+  CHECK(First.Code == ExitCode::Ok);
+  CHECK(contains(First.Out, "version: 8"));
+  CHECK(First.Err.starts_with("submission: ctl-"));
+  Ended Second = patch(Vm.address());
+  CHECK(First.Err != Second.Err);
+  auto Received = Vm.received();
+  REQUIRE(Received.size() == 2);
+  CHECK(Received[0].Method == "PATCH");
+  CHECK(Received[0].Path == "/v1/services/claims");
+  auto Body = nlohmann::json::parse(Received[0].Body);
+  CHECK(Body["version"] == 7);
+  CHECK(Body["patch"] == nlohmann::json({{"hedge_quantile", 0.9}}));
+  CHECK(First.Err ==
+        "submission: " + Body["submission"].get<std::string>() + "\n");
+}
+
+TEST_CASE("each refusal has its exit code, and --json prints the body") {
+  const std::pair<unsigned, ExitCode> Expected[] = {{409, ExitCode::Stale},
+                                                    {422, ExitCode::Invalid},
+                                                    {404, ExitCode::NotFound}};
+  for (auto [Status, Code] : Expected) {
+    const std::string Body = R"({"outcome":"refused","version":9})";
+    FakeVm Vm(Status, Body);
+    Ended Refused = patch(Vm.address(), {"--json", "--submission", "s-1"});
+    CHECK(Refused.Code == Code);
+    CHECK(Refused.Out == Body + "\n");
+    CHECK(Refused.Err.empty());
+    CHECK(Vm.received().size() == 1);
+  }
+}
+
+TEST_CASE("a VM that can't be reached, or did not run it, passes it on") {
+  FakeVm Leaving(503, R"({"outcome": "not_run", "reason": "leaving"})");
+  FakeVm Vm(200, R"({"outcome": "accepted", "version": 8})");
+  Ended Accepted =
+      patch(nobody() + "," + Leaving.address() + "," + Vm.address());
+  CHECK(Accepted.Code == ExitCode::Ok);
+  CHECK(Vm.received().size() == 1);
+  Ended Unreached = patch(nobody() + "," + Leaving.address());
+  CHECK(Unreached.Code == ExitCode::Unreached);
+}
+
+TEST_CASE("a lost answer is asked for, and the patch is not sent again") {
+  const std::pair<const char *, ExitCode> Expected[] = {
+      {R"({"outcome": "accepted", "version": 8})", ExitCode::Ok},
+      {R"({"outcome": "refused", "reason": "stale"})", ExitCode::Stale},
+      {R"({"outcome": "refused", "reason": "invalid"})", ExitCode::Invalid}};
+  for (auto [Body, Code] : Expected) {
+    CuttingVm Cutting;
+    FakeVm Other(200, Body);
+    Ended Settled = patch(Cutting.address() + "," + Other.address(),
+                          {"--submission", "s-1"});
+    CHECK(Settled.Code == Code);
+    auto Received = Other.received();
+    REQUIRE(Received.size() == 1);
+    CHECK(Received[0].Method == "GET");
+    CHECK(Received[0].Path == "/v1/submissions/s-1");
+    CHECK(Received[0].queryParameter("service") == "claims");
+  }
+}
+
+TEST_CASE("a status that settles nothing leads to the same question") {
+  FakeVm Vm([](const http::Request &Asked) {
+    http::Response Made;
+    Made.Status = Asked.Method == "PATCH" ? 504 : 200;
+    Made.Body = Asked.Method == "PATCH" ? R"({"outcome": "unknown"})"
+                                        : R"({"outcome": "accepted"})";
+    return Made;
+  });
+  CHECK(patch(Vm.address()).Code == ExitCode::Ok);
+}
+
+TEST_CASE("a submission that stays in doubt is unknown, never refused") {
+  CuttingVm Cutting;
+  FakeVm Unsure(200, R"({"outcome": "unknown"})");
+  Ended Doubt = patch(Cutting.address() + "," + Unsure.address(),
+                      {"--timeout-ms", "500", "--submission", "s-1"});
+  CHECK(Doubt.Code == ExitCode::Unknown);
+  CHECK(contains(Doubt.Err, "submission claims s-1"));
+  Ended Alone = patch(Cutting.address(), {"--timeout-ms", "500"});
+  CHECK(Alone.Code == ExitCode::Unknown);
+  Ended Asked = run(Unsure.address(), {"submission", "claims", "s-1"});
+  CHECK(Asked.Code == ExitCode::Unknown);
+}
+
+TEST_CASE("a service is created from a file, unless it is not JSON") {
+  FakeVm Vm(201, R"({"outcome": "accepted", "version": 1})");
+  Ended Created = run(Vm.address(), {"service", "create", "-"}, Content);
+  CHECK(Created.Code == ExitCode::Ok);
+  auto Received = Vm.received();
+  REQUIRE(Received.size() == 1);
+  CHECK(Received[0].Method == "POST");
+  CHECK(Received[0].Path == "/v1/services");
+  CHECK(nlohmann::json::parse(Received[0].Body)["content"]["name"] == "claims");
+  for (const char *Bad : {"{", "[]", "{}", R"({"name": 7})"})
+    CHECK(run(Vm.address(), {"service", "create", "-"}, Bad).Code ==
+          ExitCode::Invalid);
+  CHECK(run(Vm.address(), {"service", "create", "no-such-file"}).Code ==
+        ExitCode::Usage);
+  CHECK(Vm.received().size() == 1);
+}
+
+TEST_CASE("a deletion names its version and submission") {
+  FakeVm Vm(200, R"({"outcome": "accepted", "version": 8})");
+  Ended Deleted = run(Vm.address(), {"service", "delete", "claims", "--version",
+                                     "7", "--submission", "s-1"});
+  CHECK(Deleted.Code == ExitCode::Ok);
+  REQUIRE(Vm.received().size() == 1);
+  CHECK(Vm.received()[0].Method == "DELETE");
+  CHECK(Vm.received()[0].Query == "version=7&submission=s-1");
+}
+
+TEST_CASE("waiting ends when every VM has the version, or at the timeout") {
+  int Calls = 0;
+  FakeVm Vm([&Calls](const http::Request &) {
+    http::Response Made;
+    Made.Body = ++Calls < 3
+                    ? R"({"in_force": 7, "vms": 8, "waiting": ["vm-3"]})"
+                    : R"({"in_force": 8, "vms": 8, "waiting": []})";
+    return Made;
+  });
+  const std::vector<std::string> Wait = {"service", "wait", "claims",
+                                         "--version", "8"};
+  CHECK(run(Vm.address(), Wait).Code == ExitCode::Ok);
+  FakeVm Behind(200, R"({"in_force": 7, "vms": 8, "waiting": ["vm-3"]})");
+  FakeVm Lonely(200, R"({"in_force": 0, "vms": 0, "waiting": []})");
+  std::vector<std::string> Brief = Wait;
+  Brief.insert(Brief.end(), {"--timeout-ms", "300"});
+  Ended Late = run(Behind.address(), Brief);
+  CHECK(Late.Code == ExitCode::NotInForce);
+  CHECK(contains(Late.Err, "vm-3"));
+  CHECK(run(Lonely.address(), Brief).Code == ExitCode::NotInForce);
+  CHECK(run(nobody(), Brief).Code == ExitCode::Unreached);
+  FakeVm None(404, R"({"outcome": "not_found"})");
+  CHECK(run(None.address(), Wait).Code == ExitCode::NotFound);
+}
+
+TEST_CASE("a view asks another VM when one gives no answer") {
+  CuttingVm Cutting;
+  FakeVm Vm(200, R"({"vms": [{"name": "vm-1", "state": "live"},
+                             {"name": "vm-22", "incarnation": 7}]})");
+  Ended Seen = run(Cutting.address() + "," + Vm.address(), {"vms"});
+  CHECK(Seen.Code == ExitCode::Ok);
+  CHECK(Seen.Out == "vms:\n"
+                    "NAME   STATE  INCARNATION\n"
+                    "vm-1   live   -\n"
+                    "vm-22  -      7\n");
+  CHECK(run(Vm.address(), {"backends", "a b"}).Code == ExitCode::Ok);
+  CHECK(Vm.received().back().Query == "service=a%20b");
+}
+
+TEST_CASE("services are listed one a line") {
+  FakeVm Vm(200, R"({"services": [{"service": "claims", "version": 3, "content":
+    {"index": "c", "classes": [{"name": "interactive"}, {"name": "sweep"}]}}]})");
+  CHECK(run(Vm.address(), {"service", "list"}).Out ==
+        "SERVICE  VERSION  INDEX  CLASSES\n"
+        "claims   3        c      interactive,sweep\n");
+}
+
+TEST_CASE("a stop is asked of one VM only") {
+  FakeVm Vm(202, R"({"state": "leaving"})");
+  CHECK(run(Vm.address(), {"stop"}).Code == ExitCode::Ok);
+  REQUIRE(Vm.received().size() == 1);
+  CHECK(Vm.received()[0].Method == "POST");
+  CHECK(run(Vm.address() + "," + nobody(), {"stop"}).Code == ExitCode::Usage);
+  CHECK(run(nobody(), {"stop"}).Code == ExitCode::Unreached);
+}
