--- /dev/null
+++ b/packages/daemon/src/daemon/app/Daemon.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/outcome/Result.h"
+#include "daemon/settings/Settings.h"
+
+#include <memory>
+#include <string>
+
+namespace carawaypond::daemon {
+
+/// @brief Addresses on which a daemon listens.
+struct DaemonAddresses {
+  std::string Callers;
+  std::string Operators;
+  std::string Peers;
+};
+
+/// @brief One daemon: a control thread, a traffic thread and the thread of the
+/// calls between daemons.
+class Daemon {
+public:
+  /// @brief Opens all ports.
+  /// @return The daemon, or why an address can't be listened on.
+  [[nodiscard]] static Result<std::unique_ptr<Daemon>> open(Settings Config);
+  ~Daemon();
+  Daemon(const Daemon &) = delete;
+  Daemon &operator=(const Daemon &) = delete;
+
+  [[nodiscard]] const DaemonAddresses &addresses() const;
+
+  /// @brief Serves until a graceful stop has ended. SIGTERM and SIGINT begin
+  /// one.
+  void run();
+
+private:
+  class Impl;
+  explicit Daemon(std::unique_ptr<Impl> Pimpl);
+
+  std::unique_ptr<Impl> m_Impl;
+};
+
+} // namespace carawaypond::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/control/ForceAsker.cpp
@@ -0,0 +1,60 @@
+#include "daemon/control/ForceAsker.h"
+
+#include "peer/node/PeerNode.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <memory>
+
+namespace carawaypond::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Milliseconds AskTimeout{1000};
+
+/// @brief One question to all VMs, until the last has answered.
+struct Asked {
+  ForceCheck Check;
+  std::size_t Outstanding = 0;
+  asio::steady_timer Done;
+};
+
+} // namespace
+
+asio::awaitable<ForceCheck> ForceAsker::ask(ServiceName Service,
+                                            ConfigVersion Version) {
+  VmName Self = m_State.Vms.self().Name;
+  std::vector<VmName> Live = m_State.Vms.liveVms();
+  auto Question = std::make_shared<Asked>(
+      Asked{.Check = ForceCheck(Service, Version, Live),
+            .Done = asio::steady_timer(m_Io, TimePoint::max())});
+  Question->Check.onOwn(Self, m_State.Configs);
+  for (const VmName &Name : Live) {
+    std::optional<VmRecord> Vm = m_State.Vms.find(Name);
+    if (Name == Self || !Vm)
+      continue;
+    ++Question->Outstanding;
+    auto OnReply = [this, Question](Result<Digest> Heard) {
+      asio::post(m_Io, [this, Question, Got = std::move(Heard)] {
+        if (Got)
+          Question->Check.onDigest(Got.value(), m_State.Configs);
+        if (--Question->Outstanding == 0)
+          Question->Done.cancel();
+      });
+    };
+    m_Node->exchange(Vm->PeerAddress, m_State.makeDigest(true, monotonicNow()),
+                     OnReply, AskTimeout);
+  }
+  boost::system::error_code Cancelled;
+  while (Question->Outstanding > 0)
+    co_await Question->Done.async_wait(
+        asio::redirect_error(asio::use_awaitable, Cancelled));
+  co_return std::move(Question->Check);
+}
+
+} // namespace carawaypond::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/control/StoreReader.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "coordination/configuration/StoreFeed.h"
+#include "daemon/control/ControlState.h"
+#include "platform/ObjectClient.h"
+#include "platform/VmListClient.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace carawaypond::daemon {
+
+/// @brief Reads services, indexes and the VM list from the platform when it is
+/// this VM's turn. Used on the control thread only.
+class StoreReader {
+public:
+  /// @param Seed Differs between VMs, so that they don't read in step.
+  StoreReader(boost::asio::io_context &Io, const std::string &Platform,
+              ControlState &State, std::uint64_t Seed);
+
+  [[nodiscard]] const platform::CallCounts &calls() const {
+    return m_Objects.counts();
+  }
+  [[nodiscard]] const platform::CallCounts &vmListCalls() const {
+    return m_VmList.counts();
+  }
+  [[nodiscard]] platform::ObjectClient &objects() { return m_Objects; }
+
+  /// @brief Starts the reads that are due.
+  void tick(TimePoint Now);
+
+private:
+  using Found = std::vector<platform::Object>;
+  struct ActionVisitor;
+  struct Kind {
+    std::string Name;
+    StoreFeed Feed;
+    bool IsService;
+  };
+
+  void start(Kind &Which, const std::vector<StoreFeedAction> &Actions);
+  boost::asio::awaitable<void> list(Kind &Which);
+  boost::asio::awaitable<void> watch(Kind &Which, WatchObjects Asked);
+  boost::asio::awaitable<void> readVmList();
+  void take(const Kind &Which, const Found &Objects);
+  void takeOne(const Kind &Which, const platform::Object &Object);
+  [[nodiscard]] bool isWatcher() const;
+
+  boost::asio::io_context &m_Io;
+  ControlState &m_State;
+  platform::ObjectClient m_Objects;
+  platform::VmListClient m_VmList;
+  Kind m_Services;
+  Kind m_Indexes;
+  std::optional<TimePoint> m_NextVmList;
+  bool m_ReadingVmList = false;
+};
+
+} // namespace carawaypond::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/main.cpp
@@ -0,0 +1,58 @@
+#include "daemon/app/CommandLine.h"
+#include "daemon/app/Daemon.h"
+#include "daemon/log/Log.h"
+#include "daemon/settings/Settings.h"
+
+#include <iostream>
+
+using namespace carawaypond;
+using namespace carawaypond::daemon;
+
+namespace {
+
+constexpr const char *Version = "0.1.0";
+
+int finish(ExitCode Code) { return static_cast<int>(Code); }
+
+int fail(ExitCode Code, const Error &Failure) {
+  std::cerr << "carawaypond: " << Failure.Message << '\n';
+  return finish(Code);
+}
+
+int serve(Settings Config) {
+  auto Opened = Daemon::open(std::move(Config));
+  if (!Opened)
+    return fail(ExitCode::CannotListen, Opened.error());
+  const DaemonAddresses &At = Opened.value()->addresses();
+  std::cout << "listening callers=" << At.Callers
+            << " operators=" << At.Operators << " peers=" << At.Peers
+            << std::endl;
+  Opened.value()->run();
+  return finish(ExitCode::Ok);
+}
+
+} // namespace
+
+int main(int Count, char **Values) {
+  Result<CommandLine> Asked = parseCommandLine(Count, Values);
+  if (!Asked)
+    return fail(ExitCode::Usage, Asked.error());
+  if (Asked.value().What == Task::ShowHelp) {
+    std::cout << helpText();
+    return finish(ExitCode::Ok);
+  }
+  if (Asked.value().What == Task::ShowVersion) {
+    std::cout << "carawaypond " << Version << '\n';
+    return finish(ExitCode::Ok);
+  }
+  Result<Settings> Config = loadSettings(Asked.value().SettingsPath);
+  if (!Config)
+    return fail(ExitCode::InvalidSettings, Config.error());
+  if (Asked.value().What == Task::CheckSettings) {
+    std::cout << "settings are valid\n";
+    return finish(ExitCode::Ok);
+  }
+  if (Result<void> Log = configureLog(Config.value().Log); !Log)
+    return fail(ExitCode::InvalidSettings, Log.error());
+  return serve(std::move(Config.value()));
+}
--- a/packages/daemon/src/daemon/traffic/BackendFleet.cpp
+++ b/packages/daemon/src/daemon/traffic/BackendFleet.cpp
@@ -115,8 +115,8 @@
   m_Context.OnDrainSign(Server, Draining);
   if (Found->second.SaidLeaving == Draining)
     return;
-  LOG4CXX_INFO(logger(), "backend server says server="
-                             << Server << " draining=" << Draining);
+  LOG4CXX_INFO(logger(), "backend server says server=" << Server << " draining="
+                                                       << Draining);
   Found->second.SaidLeaving = Draining;
   if (Draining)
     setState(Server, ServerState::Leaving);
--- a/packages/daemon/src/daemon/traffic/OwnerRunner.cpp
+++ b/packages/daemon/src/daemon/traffic/OwnerRunner.cpp
@@ -66,8 +66,7 @@
                             Now);
   }
   QueueActions operator()(const backend::SearchRefused &Refused) const {
-    SubReason Reason =
-        reasonOfWord(Refused.Reason).value_or(SubReason::Shed);
+    SubReason Reason = reasonOfWord(Refused.Reason).value_or(SubReason::Shed);
     return Queue.onRefused(Send.Attempt,
                            {.Reason = Reason,
                             .Ran = false,
--- a/packages/daemon/src/daemon/traffic/PeerConversion.cpp
+++ b/packages/daemon/src/daemon/traffic/PeerConversion.cpp
@@ -86,8 +86,7 @@
 }
 
 SubOutcome fromPeer(const PeerResult &Result, ShardId Shard) {
-  SubReason Reason =
-      reasonOfWord(Result.Reason).value_or(SubReason::Timeout);
+  SubReason Reason = reasonOfWord(Result.Reason).value_or(SubReason::Timeout);
   switch (Result.Outcome) {
   case PeerOutcome::Answered:
     return SubAnswered{.Version = Result.Version,
--- a/packages/daemon/src/daemon/traffic/TrafficNode.cpp
+++ b/packages/daemon/src/daemon/traffic/TrafficNode.cpp
@@ -45,10 +45,9 @@
       m_Queries(m_Context, m_Services, m_Owned, m_Remote),
       m_Tickets(m_Context, m_Queries),
       m_Addresses({.Lifetime = Config.AddressLifetime}),
-      m_Api(m_Context, m_Queries, m_Tickets,
-            [this](const http::Request &Request) {
-              return addresses(Request);
-            }),
+      m_Api(
+          m_Context, m_Queries, m_Tickets,
+          [this](const http::Request &Request) { return addresses(Request); }),
       m_Poller(m_Context, m_Services, m_Fleet, std::move(Handlers.OnVersions)) {
 }
 
@@ -98,12 +97,10 @@
 
 http::Response TrafficNode::addresses(const http::Request &Request) {
   AddressQuestion Question{.Caller = Request.RemoteAddress};
-  if (std::optional<std::string> Centre =
-          Request.queryParameter("data_centre"))
+  if (std::optional<std::string> Centre = Request.queryParameter("data_centre"))
     Question.Centre = DataCentre(*Centre);
   std::shared_ptr<const ControlView> View = m_Context.Views.current();
-  AddressAnswer Answer =
-      m_Addresses.answer(Question, View->Self, View->Others);
+  AddressAnswer Answer = m_Addresses.answer(Question, View->Self, View->Others);
   nlohmann::json Body = {{"addresses", Answer.Addresses},
                          {"valid_ms", Answer.Valid.count()},
                          {"data_centre", m_Context.Config.Centre.value()}};
