Control decisions wired as one node, and the proof of configurations

The right to serve now rests on covering: a reply counts towards a majority only when this VM holds all that its sender held, so what a majority held as of a time this VM holds too. The earlier rule (majority heard, nobody seen to be ahead) was dropped: it could miss a change held two hops away.

--- /dev/null
+++ b/packages/coordination/proof/FleetModel.cpp
@@ -0,0 +1,334 @@
+#include "FleetModel.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carawaypond::proof {
+
+namespace {
+
+constexpr Milliseconds CallTimeout(1000);
+
+template <typename... Fs> struct Overloaded : Fs... {
+  using Fs::operator()...;
+};
+template <typename... Fs> Overloaded(Fs...) -> Overloaded<Fs...>;
+
+} // namespace
+
+FleetModel::FleetModel(std::uint32_t Seed, int Vms, int Centres, Faults Chances)
+    : m_Random(Seed), m_Faults(Chances), m_Slots(Vms) {
+  for (int I = 0; I < Vms; ++I) {
+    m_Slots[I].Name = VmName("vm-" + std::to_string(I));
+    m_Slots[I].Centre = DataCentre("dc-" + std::to_string(I % Centres));
+    m_Listed.push_back({.Name = m_Slots[I].Name,
+                        .Centre = m_Slots[I].Centre,
+                        .PeerAddress = m_Slots[I].Name.value()});
+  }
+  for (std::size_t I = 0; I < m_Slots.size(); ++I)
+    start(I);
+}
+
+int FleetModel::draw(int Below) {
+  return std::uniform_int_distribution(0, Below - 1)(m_Random);
+}
+
+bool FleetModel::chance(int InThousand) { return draw(1000) < InThousand; }
+
+bool FleetModel::isLost() {
+  return m_WithFaults && draw(100) < m_Faults.LossPercent;
+}
+
+Duration FleetModel::delay() {
+  return Milliseconds(draw(static_cast<int>(m_Faults.MaxDelay.count()) + 1));
+}
+
+bool FleetModel::isAwake(const Slot &Vm) const {
+  return Vm.Node && Vm.PausedUntil <= m_Now;
+}
+
+std::size_t FleetModel::indexOf(const VmName &Name) const {
+  auto Found = std::find_if(m_Slots.begin(), m_Slots.end(),
+                            [&](const Slot &Vm) { return Vm.Name == Name; });
+  return static_cast<std::size_t>(Found - m_Slots.begin());
+}
+
+bool FleetModel::canHear(std::size_t From, std::size_t To) const {
+  return m_Slots[From].Group == m_Slots[To].Group;
+}
+
+bool FleetModel::reachesStore(std::size_t Vm) {
+  return m_Now >= m_StoreDownUntil && m_Slots[Vm].HearsStore && !isLost();
+}
+
+void FleetModel::start(std::size_t Vm) {
+  Slot &Place = m_Slots[Vm];
+  ++Place.Life;
+  ControlNodeOptions Options;
+  Options.Members.Self = {.Name = Place.Name,
+                          .Life = Incarnation(Place.Life),
+                          .Centre = Place.Centre,
+                          .PeerAddress = Place.Name.value(),
+                          .CallerAddress = Place.Name.value(),
+                          .OperatorAddress = {}};
+  Options.Feed.Seed = m_Random();
+  Place.Node = std::make_unique<ControlNode>(Options);
+  Place.Node->onVmList(m_Listed, m_Now);
+  Place.NextTick = m_Now + Milliseconds(draw(500));
+  Place.LastDisturbed = m_Now;
+}
+
+void FleetModel::step(const std::function<void()> &Check) {
+  m_Now += Step;
+  if (m_WithFaults)
+    injectFaults();
+  Check();
+  for (Slot &Vm : m_Slots)
+    if (isAwake(Vm) && !Vm.Inbox.empty())
+      wake(Vm);
+  while (!m_Queue.empty() && m_Queue.top().At <= m_Now) {
+    std::function<void()> Run = m_Queue.top().Run;
+    m_Queue.pop();
+    ++m_Events;
+    Run();
+  }
+  for (std::size_t I = 0; I < m_Slots.size(); ++I) {
+    Slot &Vm = m_Slots[I];
+    if (!Vm.Node && m_Now >= Vm.StartAt)
+      start(I);
+    if (isAwake(Vm) && m_Now >= Vm.NextTick)
+      tick(I);
+  }
+}
+
+void FleetModel::wake(Slot &Vm) {
+  std::vector<std::function<void()>> Missed;
+  Missed.swap(Vm.Inbox);
+  std::shuffle(Missed.begin(), Missed.end(), m_Random);
+  for (const std::function<void()> &Each : Missed)
+    Each();
+}
+
+void FleetModel::disturb(Slot &Vm, TimePoint Until) {
+  Vm.LastDisturbed = std::max(Vm.LastDisturbed, Until);
+  m_CalmSince = std::max(m_CalmSince, Until);
+}
+
+void FleetModel::injectFaults() {
+  m_CalmSince = std::max(m_CalmSince, m_Now);
+  for (Slot &Vm : m_Slots) {
+    if (chance(m_Faults.Pause)) {
+      auto Longest = static_cast<int>(m_Faults.LongestPause.count());
+      Vm.PausedUntil =
+          std::max(Vm.PausedUntil, m_Now + Milliseconds(draw(Longest)));
+      disturb(Vm, Vm.PausedUntil);
+    }
+    if (Vm.Node && chance(m_Faults.Restart)) {
+      Vm.Node.reset();
+      Vm.Inbox.clear();
+      Vm.PausedUntil = m_Now;
+      Vm.StartAt = m_Now + Milliseconds(draw(4000));
+      disturb(Vm, Vm.StartAt);
+    }
+  }
+  if (chance(m_Faults.StoreOutage))
+    m_StoreDownUntil = m_Now + Milliseconds(draw(20000));
+  if (m_Now >= m_PartedUntil)
+    for (Slot &Vm : m_Slots) {
+      Vm.Group = 0;
+      Vm.HearsStore = true;
+    }
+  if (!chance(m_Faults.Partition))
+    return;
+  auto Longest = static_cast<int>(m_Faults.LongestPartition.count());
+  m_PartedUntil = m_Now + Milliseconds(draw(Longest));
+  for (Slot &Vm : m_Slots) {
+    Vm.Group = draw(2);
+    Vm.HearsStore = draw(4) != 0;
+  }
+}
+
+void FleetModel::stopFaults() {
+  m_WithFaults = false;
+  m_StoreDownUntil = m_Now;
+  m_PartedUntil = m_Now;
+  for (Slot &Vm : m_Slots) {
+    Vm.Group = 0;
+    Vm.HearsStore = true;
+    Vm.PausedUntil = std::min(Vm.PausedUntil, m_Now);
+    Vm.StartAt = std::min(Vm.StartAt, m_Now);
+  }
+  m_CalmSince = m_Now;
+}
+
+void FleetModel::schedule(TimePoint At, std::function<void()> Run) {
+  m_Queue.push({.At = At, .Order = m_Events++, .Run = std::move(Run)});
+}
+
+void FleetModel::deliver(std::size_t Vm, std::function<void()> Event) {
+  std::uint64_t Life = m_Slots[Vm].Life;
+  schedule(m_Now + delay(), [this, Vm, Life, Event = std::move(Event)] {
+    Slot &Place = m_Slots[Vm];
+    if (!Place.Node || Place.Life != Life)
+      return;
+    if (isAwake(Place))
+      Event();
+    else
+      Place.Inbox.push_back(Event);
+  });
+}
+
+void FleetModel::tick(std::size_t Vm) {
+  Slot &Place = m_Slots[Vm];
+  Place.NextTick = m_Now + Milliseconds(500);
+  ControlTick Wanted = Place.Node->tick(0, m_Now);
+  for (const Contact &To : Wanted.Exchanges)
+    exchange(Vm, To);
+  for (const StoreFeedAction &Action : Wanted.ServiceReads)
+    std::visit(Overloaded{[&](const ListObjects &) { list(Vm); },
+                          [&](const WatchObjects &Watch) { watch(Vm, Watch); }},
+               Action);
+}
+
+void FleetModel::exchange(std::size_t From, const Contact &To) {
+  std::size_t Other = indexOf(To.Name);
+  if (!canHear(From, Other) || isLost())
+    return;
+  Digest Request = m_Slots[From].Node->makeDigest(To.Full, m_Now);
+  TimePoint SentAt = m_Now;
+  std::uint64_t Life = m_Slots[From].Life;
+  deliver(Other, [=, this, Full = To.Full] {
+    ControlNode &There = *m_Slots[Other].Node;
+    if (auto Wanted = There.onRequest(Request, m_Now))
+      fetch(Other, From, *Wanted);
+    if (!canHear(From, Other) || isLost() || m_Slots[From].Life != Life)
+      return;
+    Digest Reply = There.makeDigest(Full, m_Now);
+    deliver(From, [=, this] {
+      if (auto Wanted = m_Slots[From].Node->onReply(Reply, SentAt, m_Now))
+        fetch(From, Other, *Wanted);
+    });
+  });
+}
+
+void FleetModel::fetch(std::size_t From, std::size_t To,
+                       const ConfigFetch &Wanted) {
+  if (!canHear(From, To) || isLost())
+    return;
+  std::uint64_t Life = m_Slots[From].Life;
+  deliver(To, [=, this] {
+    std::vector<StoredService> Newer;
+    for (const ConfigBook::Entry &Each : m_Slots[To].Node->configs().newerThan(
+             Wanted.Held, ControlNode::MaxFetched))
+      Newer.push_back(*Each);
+    Incarnation Answering(m_Slots[To].Life);
+    if (!canHear(From, To) || isLost() || m_Slots[From].Life != Life)
+      return;
+    deliver(From, [=, this] {
+      m_Slots[From].Node->onFetched(Wanted, Answering, Newer, m_Now);
+    });
+  });
+}
+
+std::vector<StoredService> FleetModel::storedServices() const {
+  std::vector<StoredService> All;
+  for (const auto &[Name, Object] : m_Store)
+    All.push_back(Object.Value);
+  return All;
+}
+
+void FleetModel::list(std::size_t Vm) {
+  TimePoint SentAt = m_Now;
+  if (!reachesStore(Vm)) {
+    deliver(Vm, [=, this] { m_Slots[Vm].Node->onServiceListFailed(m_Now); });
+    return;
+  }
+  std::uint64_t Life = m_Slots[Vm].Life;
+  schedule(m_Now + delay(), [=, this] {
+    if (m_Slots[Vm].Life != Life)
+      return;
+    std::vector<StoredService> All = storedServices();
+    std::uint64_t Revision = m_Revision;
+    deliver(Vm, [=, this] {
+      m_Slots[Vm].Node->onServiceList(Revision, All, SentAt, m_Now);
+    });
+  });
+}
+
+// The watch lags: it answers with what was stored when it was asked for.
+void FleetModel::watch(std::size_t Vm, const WatchObjects &Action) {
+  if (!reachesStore(Vm)) {
+    deliver(Vm, [=, this] { m_Slots[Vm].Node->onServiceWatchFailed(m_Now); });
+    return;
+  }
+  std::vector<StoredService> Old = storedServices();
+  std::uint64_t Revision = std::max(m_Revision, Action.After);
+  std::uint64_t Life = m_Slots[Vm].Life;
+  schedule(m_Now + Milliseconds(draw(3000)), [=, this] {
+    if (m_Slots[Vm].Life == Life)
+      deliver(Vm, [=, this] {
+        m_Slots[Vm].Node->onServiceWatch(Revision, Old, m_Now);
+      });
+  });
+}
+
+void FleetModel::read(std::size_t Vm, const ReadObject &Action, ReadDone Done) {
+  TimePoint At = m_Now + Action.After + delay();
+  if (!reachesStore(Vm)) {
+    schedule(At, [=, this] {
+      deliver(Vm, [=] { Done(failure(ErrorCode::NotConnected, "down")); });
+    });
+    return;
+  }
+  std::uint64_t Life = m_Slots[Vm].Life;
+  schedule(At, [=, this] {
+    if (m_Slots[Vm].Life != Life)
+      return;
+    auto Found = m_Store.find(Action.Service);
+    std::optional<StoredObject> Object;
+    if (Found != m_Store.end())
+      Object = Found->second;
+    deliver(Vm, [=] { Done(Object); });
+  });
+}
+
+void FleetModel::write(std::size_t Vm, const WriteObject &Action,
+                       WriteDone Done) {
+  if (!reachesStore(Vm)) {
+    deliver(Vm, [=] { Done(WriteResult::InDoubt); });
+    return;
+  }
+  bool IsAnswerLost = isLost();
+  // A write whose answer is given up may still take effect.
+  Duration Late = IsAnswerLost ? Duration(Milliseconds(draw(3000))) : delay();
+  std::uint64_t Life = m_Slots[Vm].Life;
+  schedule(m_Now + Late, [=, this] {
+    WriteResult Answer = WriteResult::Written;
+    applyWrite(Action, Answer);
+    if (!IsAnswerLost && m_Slots[Vm].Life == Life)
+      deliver(Vm, [=] { Done(Answer); });
+  });
+  if (IsAnswerLost)
+    schedule(m_Now + CallTimeout, [=, this] {
+      if (m_Slots[Vm].Life == Life)
+        deliver(Vm, [=] { Done(WriteResult::InDoubt); });
+    });
+}
+
+void FleetModel::applyWrite(const WriteObject &Action, WriteResult &Answer) {
+  const ServiceName &Name = Action.Value.Content.Name;
+  auto Found = m_Store.find(Name);
+  bool Matches = Found == m_Store.end()
+                     ? !Action.IfVersion
+                     : Action.IfVersion == Found->second.ObjectVersion;
+  if (!Matches) {
+    Answer = WriteResult::ConditionFailed;
+    return;
+  }
+  ++m_Revision;
+  m_Store[Name] = {.ObjectVersion = m_Revision, .Value = Action.Value};
+  m_Log[Name][Action.Value.Version] = {.Submission = Action.Value.Submission,
+                                       .At = m_Now};
+}
+
+} // namespace carawaypond::proof
--- a/packages/coordination/src/coordination/configuration/ConfigBook.cpp
+++ b/packages/coordination/src/coordination/configuration/ConfigBook.cpp
@@ -46,6 +46,23 @@
   return All;
 }
 
+std::vector<ConfigBook::Entry>
+ConfigBook::newerThan(const std::vector<ConfigHeld> &Theirs,
+                      std::size_t Max) const {
+  std::map<ServiceName, ConfigVersion> Known;
+  for (const ConfigHeld &Held : Theirs)
+    Known[Held.Service] = Held.Version;
+  std::vector<Entry> Newer;
+  for (const auto &[Name, Held] : m_Entries) {
+    if (Newer.size() >= Max)
+      break;
+    auto Found = Known.find(Name);
+    if (Found == Known.end() || Found->second < Held->Version)
+      Newer.push_back(Held);
+  }
+  return Newer;
+}
+
 std::vector<ServiceName> ConfigBook::lacking(const Digest &Heard) const {
   std::vector<ServiceName> Lacking;
   for (const ConfigHeld &Theirs : Heard.Configs)
--- a/packages/coordination/src/coordination/configuration/ConfigBook.h
+++ b/packages/coordination/src/coordination/configuration/ConfigBook.h
@@ -40,6 +40,10 @@
   [[nodiscard]] std::vector<Entry> services() const;
   /// @return Every version held, deletions too.
   [[nodiscard]] std::vector<ConfigHeld> versions() const;
+  /// @return Up to @p Max configurations that are newer than @p Theirs, or of
+  /// which Theirs knows nothing. Fewer than Max are all that there are.
+  [[nodiscard]] std::vector<Entry>
+  newerThan(const std::vector<ConfigHeld> &Theirs, std::size_t Max) const;
   [[nodiscard]] std::uint64_t fingerprint() const { return m_Fingerprint; }
   /// @return Services of which the digest's sender holds a higher version.
   [[nodiscard]] std::vector<ServiceName> lacking(const Digest &Heard) const;
--- a/packages/coordination/src/coordination/freshness/Freshness.cpp
+++ b/packages/coordination/src/coordination/freshness/Freshness.cpp
@@ -20,7 +20,7 @@
 
 bool Freshness::mayServe(TimePoint Now) const {
   if (internal::isMutant(internal::Mutant::ServeUnconfirmed))
-    return isInformed();
+    return m_FirstServed.has_value();
   return m_ServeUntil && Now <= *m_ServeUntil;
 }
 
@@ -48,7 +48,7 @@
 void Freshness::onStoreList(TimePoint SentAt, TimePoint Now) {
   CARAWAYPOND_INVARIANT(SentAt <= Now, "a list came before it was asked for");
   m_StoreAsOf = std::max(m_StoreAsOf.value_or(SentAt), SentAt);
-  extend(SentAt + m_Options.Bound);
+  extend(SentAt + m_Options.Bound, Now);
 }
 
 void Freshness::onReply(const Digest &Reply, bool Covers, TimePoint SentAt,
@@ -58,36 +58,26 @@
     TimePoint AsOf = SentAt - Milliseconds(Reply.StoreAgeMillis);
     m_StoreAsOf = std::max(m_StoreAsOf.value_or(AsOf), AsOf);
   }
-  if (!Covers) {
-    m_Uncovered[Reply.Sender.Name] = Now;
-    return;
-  }
-  m_Uncovered.erase(Reply.Sender.Name);
   Milliseconds Left(std::min(Reply.ServeMillis, toMillis(m_Options.Bound)));
-  if (Left.count() > 0)
-    extend(SentAt + Left);
+  if (Covers && Left.count() > 0)
+    extend(SentAt + Left, Now);
 }
 
 void Freshness::tick(std::optional<TimePoint> MajorityAsOf, TimePoint Now) {
-  std::erase_if(m_Uncovered, [&](const auto &Entry) {
-    return Now - Entry.second > m_Options.Bound;
-  });
-  if (!MajorityAsOf || Now - *MajorityAsOf > m_Options.Bound) {
-    m_MajoritySince.reset();
-    return;
-  }
-  bool HasLapsed = m_ServedAtTick && !mayServe(Now);
-  if (!m_MajoritySince || HasLapsed)
-    m_MajoritySince = Now;
-  m_ServedAtTick = mayServe(Now);
-  if (!isInformed() || !isStoreSilent(Now) || !m_Uncovered.empty())
-    return;
-  if (mayServe(Now) || Now - *m_MajoritySince >= m_Options.Settle)
-    extend(*MajorityAsOf + m_Options.Bound);
+  if (m_Informed && MajorityAsOf)
+    extend(*MajorityAsOf + m_Options.Bound, Now);
+  // A right that holds this long after the first one rests on evidence that
+  // is younger than this life.
+  m_Informed = m_Informed || (m_FirstServed && mayServe(Now) &&
+                              Now - *m_FirstServed > m_Options.Bound);
 }
 
-void Freshness::extend(TimePoint Until) {
+void Freshness::extend(TimePoint Until, TimePoint Now) {
   m_ServeUntil = std::max(m_ServeUntil.value_or(Until), Until);
+  CARAWAYPOND_INVARIANT(*m_ServeUntil <= Now + m_Options.Bound,
+                        "a right to serve reaches beyond its bound");
+  if (!m_FirstServed && mayServe(Now))
+    m_FirstServed = Now;
 }
 
 bool Freshness::isStoreSilent(TimePoint Now) const {
--- a/packages/coordination/src/coordination/membership/CentreTally.cpp
+++ b/packages/coordination/src/coordination/membership/CentreTally.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// Signs need this long to reach a VM; one that just woke may lack them.
+constexpr std::uint64_t MinAwakeMillis = 1500;
+
 std::uint64_t ageMillis(TimePoint AsOf, TimePoint Now) {
   Duration Age = std::max(Now - AsOf, Duration(0));
   return static_cast<std::uint64_t>(
@@ -18,9 +21,6 @@
 
 } // namespace
 
-CentreTally::CentreTally(VmName Self, DataCentre Own)
-    : m_Self(std::move(Self)), m_Own(std::move(Own)) {}
-
 std::optional<TimePoint> CentreTally::majorityAsOf(std::size_t Total,
                                                    TimePoint Now) const {
   if (!m_Informed)
@@ -28,7 +28,7 @@
   std::vector<std::pair<TimePoint, std::size_t>> Heard = {{Now, 1}};
   for (const auto &[Name, Known] : m_Peers)
     if (Known.Informed && Known.SameCentre)
-      Heard.emplace_back(Known.AsOf, 1);
+      Heard.emplace_back(Known.CoveredAsOf, 1);
   for (const auto &[Centre, Remote] : m_Remotes)
     Heard.emplace_back(Remote.AsOf, Remote.Heard);
   std::sort(Heard.begin(), Heard.end(), std::greater<>());
@@ -47,7 +47,7 @@
     return std::nullopt;
   std::vector<TimePoint> Heard;
   for (const auto &[Name, Known] : m_Peers)
-    Heard.push_back(Known.AsOf);
+    Heard.push_back(Known.DirectAsOf);
   std::sort(Heard.begin(), Heard.end(), std::greater<>());
   return Heard[Count - 1];
 }
@@ -65,10 +65,11 @@
   CentreHeard Own{
       .Centre = m_Own, .Heard = m_Informed ? 1U : 0U, .AgeMillis = 0};
   for (const auto &[Name, Known] : m_Peers) {
-    if (!Known.Informed || !Known.SameCentre || Now - Known.AsOf > Window)
+    if (!Known.Informed || !Known.SameCentre ||
+        Now - Known.CoveredAsOf > Window)
       continue;
     ++Own.Heard;
-    Own.AgeMillis = std::max(Own.AgeMillis, ageMillis(Known.AsOf, Now));
+    Own.AgeMillis = std::max(Own.AgeMillis, ageMillis(Known.CoveredAsOf, Now));
   }
   std::vector<CentreHeard> All = {Own};
   for (const auto &[Centre, Remote] : m_Remotes)
@@ -78,20 +79,28 @@
   return All;
 }
 
-void CentreTally::onReply(const Digest &Reply, TimePoint SentAt) {
+void CentreTally::onReply(const Digest &Reply, bool Covers, TimePoint SentAt) {
   Peer &Known = m_Peers[Reply.Sender.Name];
-  if (SentAt >= Known.AsOf)
-    Known = {.AsOf = SentAt,
-             .Informed = Reply.Informed,
-             .SameCentre = Reply.Sender.Centre == m_Own};
-  for (const CentreHeard &Told : Reply.Centres) {
-    if (Told.Centre == m_Own)
-      continue;
-    TimePoint AsOf = SentAt - Milliseconds(Told.AgeMillis);
-    auto [Known, IsNew] = m_Remotes.try_emplace(Told.Centre);
-    if (IsNew || AsOf > Known->second.AsOf)
-      Known->second = {.Heard = Told.Heard, .AsOf = AsOf};
+  Known.SameCentre = Reply.Sender.Centre == m_Own;
+  if (Reply.AwakeMillis >= MinAwakeMillis)
+    Known.DirectAsOf = std::max(Known.DirectAsOf, SentAt);
+  if (!Covers)
+    return;
+  if (SentAt >= Known.CoveredAsOf) {
+    Known.CoveredAsOf = SentAt;
+    Known.Informed = Reply.Informed;
   }
+  for (const CentreHeard &Told : Reply.Centres)
+    onCentre(Told, SentAt);
+}
+
+void CentreTally::onCentre(const CentreHeard &Told, TimePoint SentAt) {
+  if (Told.Centre == m_Own)
+    return;
+  TimePoint AsOf = SentAt - Milliseconds(Told.AgeMillis);
+  auto [Known, IsNew] = m_Remotes.try_emplace(Told.Centre);
+  if (IsNew || AsOf > Known->second.AsOf)
+    Known->second = {.Heard = Told.Heard, .AsOf = AsOf};
 }
 
 } // namespace carawaypond
--- a/packages/coordination/src/coordination/membership/CentreTally.h
+++ b/packages/coordination/src/coordination/membership/CentreTally.h
@@ -7,15 +7,18 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace carawaypond {
 
 /// @brief How many VMs were heard as of when: those of this data centre one by
-/// one, those of the others as one number each. Only replies are evidence.
+/// one, those of the others as one number each. Only replies are evidence, and
+/// for a majority only replies of VMs whose configurations this VM all holds:
+/// what a majority knew as of that time, this VM knows too.
 class CentreTally {
 public:
-  CentreTally(VmName Self, DataCentre Own);
+  explicit CentreTally(DataCentre Own) : m_Own(std::move(Own)) {}
 
   /// @return The latest time as of which more than half of @p Total VMs were
   /// heard as informed, this one and at least one other among them; nothing
@@ -33,14 +36,16 @@
                                                  Duration Window) const;
 
   /// @brief Takes the evidence in a reply to a request sent at @p SentAt.
-  void onReply(const Digest &Reply, TimePoint SentAt);
+  /// @param Covers See ConfigBook::covers().
+  void onReply(const Digest &Reply, bool Covers, TimePoint SentAt);
   /// @brief Whether this VM counts as informed itself.
   void setInformed(bool Informed) { m_Informed = Informed; }
   void forget(const VmName &Name) { m_Peers.erase(Name); }
 
 private:
   struct Peer {
-    TimePoint AsOf;
+    TimePoint DirectAsOf;
+    TimePoint CoveredAsOf;
     bool Informed = false;
     bool SameCentre = false;
   };
@@ -49,7 +54,8 @@
     TimePoint AsOf;
   };
 
-  VmName m_Self;
+  void onCentre(const CentreHeard &Told, TimePoint SentAt);
+
   DataCentre m_Own;
   std::map<VmName, Peer> m_Peers; ///< Those that answered this VM.
   std::map<DataCentre, RemoteCentre> m_Remotes;
--- a/packages/coordination/src/coordination/membership/Digest.h
+++ b/packages/coordination/src/coordination/membership/Digest.h
@@ -71,6 +71,7 @@
   bool StoreReachable = false;
   std::uint64_t StoreAgeMillis = 0; ///< Since the newest store read upstream.
   std::uint64_t ServeMillis = 0; ///< For how long the sender may still serve.
+  std::uint64_t AwakeMillis = 0; ///< Since its start or its last pause ended.
   bool Informed = false; ///< Whether the sender ever might serve in this life.
 
   friend bool operator==(const Digest &, const Digest &) = default;
--- a/packages/coordination/src/coordination/membership/Membership.cpp
+++ b/packages/coordination/src/coordination/membership/Membership.cpp
@@ -18,7 +18,7 @@
 
 Membership::Membership(MembershipOptions Options)
     : m_Options(std::move(Options)), m_Self(m_Options.Self),
-      m_Table(m_Options.MaxVms), m_Tally(m_Self.Name, m_Self.Centre) {
+      m_Table(m_Options.MaxVms), m_Tally(m_Self.Centre) {
   CARAWAYPOND_INVARIANT(m_Self.Life.value() > 0, "life 0 means never heard");
 }
 
@@ -103,6 +103,8 @@
                         "the monotonic clock went backwards");
   Duration Gap = m_LastTick ? Now - *m_LastTick : Duration(0);
   m_LastTick = Now;
+  if (!m_AwakeSince || Gap > m_Options.PauseBound)
+    m_AwakeSince = Now;
   if (Gap <= m_Options.PauseBound)
     return;
   for (auto &[Name, Watched] : m_Watches) {
@@ -255,8 +257,18 @@
   }
 }
 
+std::uint64_t Membership::awakeMillis(TimePoint Now) const {
+  bool JustWoke = !m_LastTick || Now - *m_LastTick > m_Options.PauseBound;
+  if (JustWoke)
+    return 0;
+  Duration Awake = Now - *m_AwakeSince;
+  return static_cast<std::uint64_t>(
+      std::chrono::floor<Milliseconds>(Awake).count());
+}
+
 void Membership::fill(Digest &Out, bool Full, TimePoint Now) {
   Out.Sender = m_Self;
+  Out.AwakeMillis = awakeMillis(Now);
   if (!Full)
     return;
   Out.Centres = m_Tally.summary(Now, m_Options.HeardWindow);
@@ -280,9 +292,10 @@
   onDigest(Heard, Now);
 }
 
-void Membership::onReply(const Digest &Heard, TimePoint SentAt, TimePoint Now) {
+void Membership::onReply(const Digest &Heard, bool Covers, TimePoint SentAt,
+                         TimePoint Now) {
   CARAWAYPOND_INVARIANT(SentAt <= Now, "a reply came before its request");
-  m_Tally.onReply(Heard, SentAt);
+  m_Tally.onReply(Heard, Covers, SentAt);
   onDigest(Heard, Now);
 }
 
--- a/packages/coordination/src/coordination/membership/Membership.h
+++ b/packages/coordination/src/coordination/membership/Membership.h
@@ -59,8 +59,11 @@
   void fill(Digest &Out, bool Full, TimePoint Now);
   /// @brief Takes a request's digest, which proves no recency.
   void onRequest(const Digest &Heard, TimePoint Now);
-  /// @brief Takes the reply to a request that was sent at @p SentAt.
-  void onReply(const Digest &Heard, TimePoint SentAt, TimePoint Now);
+  /// @brief Takes the reply to a request that was sent at @p SentAt; again
+  /// with @p Covers once what it showed to be lacking was fetched.
+  /// @param Covers See ConfigBook::covers().
+  void onReply(const Digest &Heard, bool Covers, TimePoint SentAt,
+               TimePoint Now);
   /// @brief Takes the VM list; it only adds VMs that were never heard of.
   void onVmList(const std::vector<ListedVm> &Listed, TimePoint Now);
   /// @brief Tells whether this VM ever might serve in this life.
@@ -83,6 +86,7 @@
   [[nodiscard]] bool isSilent(const VmRecord &Record, const Watch &Watched,
                               TimePoint Now) const;
   void conclude(const VmName &Name, Watch &Watched, VmState State);
+  [[nodiscard]] std::uint64_t awakeMillis(TimePoint Now) const;
   void skipPause(TimePoint Now);
   [[nodiscard]] bool mayStillRun(const VmRecord &Record) const;
   [[nodiscard]] std::size_t countOthers() const;
@@ -103,6 +107,7 @@
   CentreTally m_Tally;
   std::map<VmName, Watch> m_Watches;
   std::optional<TimePoint> m_LastTick;
+  std::optional<TimePoint> m_AwakeSince;
   std::vector<ListedVm> m_Listed;
   std::optional<TimePoint> m_ListedAt;
   std::size_t m_ListedCursor = 0;
--- /dev/null
+++ b/packages/coordination/src/coordination/node/ControlNode.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "coordination/configuration/ConfigBook.h"
+#include "coordination/drain/SendGate.h"
+#include "coordination/membership/Membership.h"
+#include "coordination/node/ConfigFetch.h"
+#include "coordination/node/ControlNodeOptions.h"
+#include "coordination/node/ControlTick.h"
+#include "core/time/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace carawaypond {
+
+/// @brief One VM's control decisions, wired together without I/O: membership,
+/// configuration, recency, drains and its own stop. The daemon carries the
+/// digests, reads the store, and publishes what the queries tell.
+class ControlNode {
+public:
+  /// Configurations that one fetch brings at most.
+  static constexpr std::size_t MaxFetched = 64;
+
+  explicit ControlNode(ControlNodeOptions Options);
+
+  [[nodiscard]] const Membership &members() const { return m_Members; }
+  [[nodiscard]] const ConfigBook &configs() const { return m_Configs; }
+  [[nodiscard]] const ServerDrains &drains() const { return m_Drains; }
+  [[nodiscard]] const VmDrain &stop() const { return m_Stop; }
+  [[nodiscard]] const Freshness &recency() const { return m_Recency; }
+  [[nodiscard]] const SendGate &sendGate() const { return m_Gate; }
+  /// @return Whether a query may begin; else it is refused as not run.
+  [[nodiscard]] bool mayServe(TimePoint Now) const;
+  /// @return Whether a submission may be handed to the store.
+  [[nodiscard]] bool maySubmit(TimePoint Now) const;
+
+  /// @brief To be called each MembershipOptions::TickPeriod.
+  /// @param InFlight See VmDrain::tick().
+  ControlTick tick(std::size_t InFlight, TimePoint Now);
+  /// @brief The digest for a request or a reply; the caller adds indexes and
+  /// replica versions.
+  Digest makeDigest(bool Full, TimePoint Now);
+  /// @brief Takes a request's digest; answer it with makeDigest().
+  std::optional<ConfigFetch> onRequest(const Digest &Heard, TimePoint Now);
+  /// @brief Takes a reply to a request that left at @p SentAt.
+  std::optional<ConfigFetch> onReply(const Digest &Heard, TimePoint SentAt,
+                                     TimePoint Now);
+  /// @brief Takes what a fetch brought.
+  /// @param Life The incarnation that answered it.
+  void onFetched(const ConfigFetch &Asked, Incarnation Life,
+                 std::vector<StoredService> Newer, TimePoint Now);
+  /// @brief Takes the answer to ListObjects that left at @p SentAt.
+  void onServiceList(std::uint64_t Revision,
+                     std::vector<StoredService> Services, TimePoint SentAt,
+                     TimePoint Now);
+  void onServiceListFailed(TimePoint Now);
+  /// @brief Takes the answer to WatchObjects.
+  void onServiceWatch(std::uint64_t Revision,
+                      std::vector<StoredService> Services, TimePoint Now);
+  void onServiceWatchFailed(TimePoint Now);
+  /// @brief Takes what this VM's own submission wrote.
+  void onWritten(StoredService Written) { m_Configs.take(std::move(Written)); }
+  void onVmList(const std::vector<ListedVm> &Listed, TimePoint Now);
+  /// @brief Takes a sign of a backend server; see ServerDrains::observe().
+  void onServerSign(const ServerName &Server, bool Leaving, TimePoint Now);
+  /// @brief Begins the graceful stop.
+  void beginStop(TimePoint Now);
+
+private:
+  void onDigest(const Digest &Heard, TimePoint Now);
+  [[nodiscard]] std::optional<ConfigFetch>
+  fetchFrom(const Digest &Heard, std::optional<TimePoint> SentAt) const;
+  [[nodiscard]] bool isWatcher() const;
+  void weigh(TimePoint Now);
+
+  ControlNodeOptions m_Options;
+  Membership m_Members;
+  ConfigBook m_Configs;
+  StoreFeed m_Feed;
+  Freshness m_Recency;
+  ServerDrains m_Drains;
+  SendGate m_Gate;
+  VmDrain m_Stop;
+};
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/node/ControlNodeOptions.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "coordination/configuration/StoreFeed.h"
+#include "coordination/configuration/WatchPlan.h"
+#include "coordination/drain/ServerDrains.h"
+#include "coordination/drain/VmDrain.h"
+#include "coordination/freshness/Freshness.h"
+#include "coordination/membership/MembershipOptions.h"
+
+namespace carawaypond {
+
+/// @brief Options of a ControlNode's parts. Drains takes its VM's name and
+/// life from Members.
+struct ControlNodeOptions {
+  MembershipOptions Members;
+  WatchPlanOptions Watchers;
+  StoreFeedOptions Feed;
+  FreshnessOptions Recency;
+  ServerDrainsOptions Drains;
+  VmDrainOptions Stop;
+};
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/node/fwd.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace carawaypond {
+
+class ControlNode;
+struct ConfigFetch;
+struct ControlNodeOptions;
+struct ControlTick;
+
+} // namespace carawaypond
