All queues of a VM in one place, and a ledger of a query's sends

Several shards share a backend server, so a slot freed by one queue has to reach whichever queue waits for that server. Leaving this to the caller was ruled out: it would have to keep the same maps. OwnerQueues directs events, offers freed slots in turn and drops queues of old layouts.

--- a/packages/coordination/proof/ServerModel.cpp
+++ b/packages/coordination/proof/ServerModel.cpp
@@ -13,6 +13,7 @@
     Shard.Ranges.push_back(Range);
   }
   std::vector<ReplicaVersions> All;
+  All.reserve(Shards.size());
   for (auto &[Id, Shard] : Shards)
     All.push_back(std::move(Shard));
   return All;
--- a/packages/coordination/proof/TrafficWorld.cpp
+++ b/packages/coordination/proof/TrafficWorld.cpp
@@ -57,11 +57,11 @@
       m_Pinner(std::make_unique<SnapshotPinner>(makeIndex())),
       m_Routes(makeRoutes()), m_Checker(Promise) {
   for (std::uint32_t I = 0; I < OwnerCount; ++I)
-    m_Owners.push_back(std::make_unique<OwnerModel>(ownerName(I)));
+    m_Owners.push_back(std::make_unique<OwnerModel>(ownerName(I), Service));
   for (const ServerInfo &Info : m_Pinner->index().Servers) {
     m_Servers.emplace_back(Info.Name);
     for (auto &Owner : m_Owners)
-      Owner->slots().setSlots(Info.Name, Info.Slots);
+      Owner->queues().setSlots(Info.Name, Info.Slots);
   }
   addLayout();
   for (ServerModel &Server : m_Servers) {
@@ -152,7 +152,8 @@
 }
 
 void TrafficWorld::receive(const CancelToOwner &Arrived) {
-  post(owner(Arrived.Owner).cancel(Arrived.Id, m_Now));
+  OwnerModel &By = owner(Arrived.Owner);
+  post(By.translate(By.queues().cancel(Arrived.Id, m_Now)));
 }
 
 void TrafficWorld::receive(const ToCoordinator &Arrived) {
@@ -182,7 +183,8 @@
 }
 
 void TrafficWorld::receive(const AttemptLost &Arrived) {
-  post(owner(Arrived.Owner).onLost(Arrived.Attempt, m_Now));
+  OwnerModel &By = owner(Arrived.Owner);
+  post(By.translate(By.queues().onLost(Arrived.Attempt, m_Now)));
 }
 
 void TrafficWorld::deliver(std::size_t Place, bool Keep) {
@@ -271,8 +273,7 @@
 void TrafficWorld::setState(const ServerName &Server, ServerState State) {
   m_Pinner->board().setState(Server, State);
   for (auto &Owner : m_Owners) {
-    Owner->slots().setState(Server, State);
-    post(Owner->onServersChanged(m_Now));
+    post(Owner->translate(Owner->queues().setState(Server, State, m_Now)));
   }
 }
 
@@ -280,7 +281,7 @@
   for (std::size_t I = 0; I < m_Queries.size(); ++I)
     act(I, m_Queries[I]->tick(m_Now));
   for (auto &Owner : m_Owners)
-    post(Owner->tick(m_Now));
+    post(Owner->translate(Owner->queues().tick(m_Now)));
 }
 
 void TrafficWorld::apply(const Step &Next) {
@@ -350,7 +351,7 @@
     Counts["late answers dropped"] += Each.LateAnswers;
   }
   for (const auto &Owner : m_Owners) {
-    QueueCounters Each = Owner->counters();
+    QueueCounters Each = Owner->queues().counters();
     Counts["sends to backend servers"] += Each.Sends;
     Counts["hedges"] += Each.Hedges;
     Counts["retries"] += Each.Retries;
--- a/packages/coordination/src/coordination/query/QueryRun.cpp
+++ b/packages/coordination/src/coordination/query/QueryRun.cpp
@@ -27,10 +27,10 @@
   QueryActions &Out;
 
   [[nodiscard]] bool isCurrent() const { return Sent.Round == Run.m_Round; }
-  [[nodiscard]] ShardRun &shard() const { return Run.m_Shards[Sent.Shard]; }
+  [[nodiscard]] ShardRun &shard() const { return Run.m_Shards[Sent.Place]; }
 
   void operator()(const SubAnswered &Answer) const {
-    Run.setState(Sent, SendState::Ran);
+    Run.m_Sends.setState(Sent, SendState::Ran);
     if (!isCurrent()) {
       ++Run.m_Counters.LateAnswers;
       return;
@@ -44,23 +44,23 @@
   }
 
   void operator()(const SubNotRun &Refusal) const {
-    Run.setState(Sent, SendState::NotRun);
+    Run.m_Sends.setState(Sent, SendState::NotRun);
     if (!isCurrent())
       return;
     if (isAboutOwner(Refusal.Reason))
-      Run.rerouteOrGiveUp(Sent.Shard, Refusal.Reason, Now, Out);
+      Run.rerouteOrGiveUp(Sent.Place, Refusal.Reason, Now, Out);
     else
       Run.giveUp(shard(), Refusal.Reason);
   }
 
   void operator()(const SubInDoubt &Doubt) const {
-    Run.setState(Sent, SendState::InDoubt);
+    Run.m_Sends.setState(Sent, SendState::InDoubt);
     if (isCurrent())
       Run.giveUp(shard(), Doubt.Reason);
   }
 
   void operator()(const SubVersionGone &Gone) const {
-    Run.setState(Sent, SendState::NotRun);
+    Run.m_Sends.setState(Sent, SendState::NotRun);
     for (const ReplicaVersions &Replica : Gone.Served)
       for (const VersionRange &Range : Replica.Ranges)
         Run.m_Resources.Pinner.board().noteRefusal(Replica.Server,
@@ -74,7 +74,8 @@
 
 QueryRun::QueryRun(Query Asked, QueryResources Resources,
                    QueryRunOptions Options)
-    : m_Query(std::move(Asked)), m_Resources(Resources), m_Options(Options) {}
+    : m_Query(std::move(Asked)), m_Resources(std::move(Resources)),
+      m_Options(Options) {}
 
 std::optional<TimePoint> QueryRun::nextWake() const {
   if (m_Finished)
@@ -135,21 +136,16 @@
   CARAWAYPOND_INVARIANT(Now < m_Query.Deadline,
                         "a subrequest was handed on past its deadline");
   CARAWAYPOND_INVARIANT(
-      m_Query.Repeatable || std::all_of(Shard.Sends.begin(), Shard.Sends.end(),
-                                        [&](SubrequestId Id) {
-                                          return m_Sends.at(Id).State ==
-                                                 SendState::NotRun;
-                                        }),
+      m_Query.Repeatable || m_Sends.noneRan(Shard.Sends),
       "a subrequest that is not repeatable was handed on again");
   const Route &To = Shard.Routes[Shard.NextRoute++];
   SubrequestId Id = m_Resources.Ids.next();
   Shard.Sends.push_back(Id);
-  m_Sends.emplace(Id, Send{.Owner = To.Vm,
-                           .Shard = Place,
-                           .Id = Shard.Id,
-                           .Round = m_Round,
-                           .State = SendState::Outstanding});
-  ++m_PossiblyRun;
+  m_Sends.add(Id, Send{.Owner = To.Vm,
+                       .Shard = Shard.Id,
+                       .Place = Place,
+                       .Round = m_Round,
+                       .State = SendState::Outstanding});
   ++m_Counters.Sends;
   if (m_Query.Repeatable && Shard.NextRoute < Shard.Routes.size())
     armTurn(Place, Now + m_Options.OwnerSilence);
@@ -174,24 +170,13 @@
 /// @return The send that the event is for, or nullptr when it is another
 /// query's.
 QueryRun::Send *QueryRun::findSend(const SubrequestEnded &Event) {
-  auto Found = m_Sends.find(Event.Id);
-  if (Found != m_Sends.end() && Found->second.Id == Event.Shard)
-    return &Found->second;
+  Send *Found = m_Sends.find(Event.Id);
+  if (Found != nullptr && Found->Shard == Event.Shard)
+    return Found;
   ++m_Counters.ForeignAnswers;
-  if (!isMutant(Mutant::AcceptAnyQuery))
-    return nullptr;
-  auto Same = std::find_if(m_Sends.begin(), m_Sends.end(), [&](auto &Each) {
-    return Each.second.Id == Event.Shard && Each.second.Round == m_Round;
-  });
-  return Same == m_Sends.end() ? nullptr : &Same->second;
-}
-
-void QueryRun::setState(Send &Sent, SendState State) {
-  if (Sent.State != SendState::NotRun)
-    --m_PossiblyRun;
-  Sent.State = State;
-  if (State != SendState::NotRun)
-    ++m_PossiblyRun;
+  if (isMutant(Mutant::AcceptAnyQuery))
+    return m_Sends.findShard(Event.Shard, m_Round);
+  return nullptr;
 }
 
 QueryActions QueryRun::onEnded(const SubrequestEnded &Event, TimePoint Now) {
@@ -209,26 +194,24 @@
     ++m_Counters.LateAnswers;
     return Out;
   }
-  if (m_Query.Deadline <= Now)
-    return tick(Now);
   std::visit(
       OutcomeVisitor{.Run = *this, .Sent = *Sent, .Now = Now, .Out = Out},
       Event.Outcome);
   concludeIfSettled(Now, Out);
+  if (!m_Finished && m_Query.Deadline <= Now)
+    finish(result(), Out);
   return Out;
 }
 
 QueryActions QueryRun::onOwnerLost(SubrequestId Id, bool MaySent,
                                    TimePoint Now) {
   QueryActions Out;
-  auto Found = m_Sends.find(Id);
-  if (m_Finished || Found == m_Sends.end() ||
-      Found->second.State != SendState::Outstanding)
+  Send *Sent = m_Sends.find(Id);
+  if (m_Finished || Sent == nullptr || Sent->State != SendState::Outstanding)
     return Out;
-  Send &Sent = Found->second;
-  setState(Sent, MaySent ? SendState::InDoubt : SendState::NotRun);
-  if (Sent.Round == m_Round)
-    rerouteOrGiveUp(Sent.Shard,
+  m_Sends.setState(*Sent, MaySent ? SendState::InDoubt : SendState::NotRun);
+  if (Sent->Round == m_Round)
+    rerouteOrGiveUp(Sent->Place,
                     MaySent ? SubReason::ConnectionLost : SubReason::NoOwner,
                     Now, Out);
   concludeIfSettled(Now, Out);
@@ -268,27 +251,15 @@
   settle(Shard);
 }
 
-bool QueryRun::hasOutstanding(const ShardRun &Shard) const {
-  return std::any_of(Shard.Sends.begin(), Shard.Sends.end(),
-                     [&](SubrequestId Id) {
-                       return m_Sends.at(Id).State == SendState::Outstanding;
-                     });
-}
-
 bool QueryRun::mayReroute(const ShardRun &Shard, TimePoint Now) const {
   if (Shard.Answer || Shard.NextRoute >= Shard.Routes.size() ||
       m_Query.Deadline <= Now)
     return false;
-  if (m_Query.Repeatable)
-    return true;
-  return std::all_of(Shard.Sends.begin(), Shard.Sends.end(),
-                     [&](SubrequestId Id) {
-                       return m_Sends.at(Id).State == SendState::NotRun;
-                     });
+  return m_Query.Repeatable || m_Sends.noneRan(Shard.Sends);
 }
 
 void QueryRun::giveUp(ShardRun &Shard, SubReason Reason) {
-  if (Shard.Answer || hasOutstanding(Shard))
+  if (Shard.Answer || m_Sends.anyOutstanding(Shard.Sends))
     return;
   Shard.Reason = Reason;
   settle(Shard);
@@ -297,7 +268,7 @@
 void QueryRun::rerouteOrGiveUp(std::size_t Place, SubReason Reason,
                                TimePoint Now, QueryActions &Out) {
   ShardRun &Shard = m_Shards[Place];
-  bool IsReroute = !Shard.Settled && !hasOutstanding(Shard) &&
+  bool IsReroute = !Shard.Settled && !m_Sends.anyOutstanding(Shard.Sends) &&
                    mayReroute(Shard, Now) && m_Resources.Budget.trySpend();
   if (!IsReroute) {
     giveUp(Shard, Reason);
@@ -342,7 +313,7 @@
 
 /// Starts over on the version that can be pinned now, if it is another one.
 bool QueryRun::restart(TimePoint Now, QueryActions &Out) {
-  bool IsAllowed = m_Query.Repeatable || m_PossiblyRun == 0;
+  bool IsAllowed = m_Query.Repeatable || m_Sends.possiblyRun() == 0;
   if (!IsAllowed || m_Counters.Restarts >= m_Options.MaxRestarts ||
       m_Query.Deadline <= Now)
     return false;
@@ -389,7 +360,7 @@
                .Answers = {},
                .Missing = {},
                .Repeatable = m_Query.Repeatable,
-               .PossiblyRun = m_PossiblyRun};
+               .PossiblyRun = m_Sends.possiblyRun()};
   for (const ShardRun &Shard : m_Shards) {
     if (Shard.Answer)
       End.Answers.push_back(*Shard.Answer);
--- a/packages/coordination/src/coordination/query/QueryRun.h
+++ b/packages/coordination/src/coordination/query/QueryRun.h
@@ -3,6 +3,7 @@
 #include "coordination/budget/ExtraLoadBudget.h"
 #include "coordination/ownership/RouteTable.h"
 #include "coordination/query/QueryActions.h"
+#include "coordination/query/SendLedger.h"
 #include "coordination/snapshot/SnapshotPinner.h"
 #include "coordination/subrequest/SerialIds.h"
 #include "coordination/subrequest/SubOutcome.h"
@@ -13,7 +14,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -88,16 +88,8 @@
   [[nodiscard]] QueryActions cancel(TimePoint Now);
 
 private:
-  /// How far one send is known to have gone.
-  enum class SendState { Outstanding, NotRun, InDoubt, Ran };
-
-  struct Send {
-    VmName Owner;
-    std::size_t Shard = 0; ///< Its place in m_Shards, in that round.
-    ShardId Id;
-    std::uint32_t Round = 0; ///< The restart that it belongs to.
-    SendState State = SendState::Outstanding;
-  };
+  using Send = internal::SendRecord;
+  using SendState = internal::SendState;
 
   struct ShardRun {
     ShardId Id;
@@ -113,13 +105,11 @@
   /// @brief Applies one outcome to the send that it is for.
   struct OutcomeVisitor;
 
-  [[nodiscard]] bool hasOutstanding(const ShardRun &Shard) const;
   [[nodiscard]] bool mayReroute(const ShardRun &Shard, TimePoint Now) const;
   [[nodiscard]] bool isPinned(const SubAnswered &Answer) const;
   [[nodiscard]] QueryResult result() const;
 
   Send *findSend(const SubrequestEnded &Event);
-  void setState(Send &Sent, SendState State);
   void begin(std::shared_ptr<const PinnedSnapshot> Pinned, TimePoint Now,
              QueryActions &Out);
   void addShard(const PinnedShard &Pinned, TimePoint Now, QueryActions &Out);
@@ -142,13 +132,12 @@
   QueryResources m_Resources;
   QueryRunOptions m_Options;
   std::shared_ptr<const PinnedSnapshot> m_Pinned;
-  std::vector<ShardRun> m_Shards;                 ///< In the snapshot's order.
-  std::unordered_map<SubrequestId, Send> m_Sends; ///< Of all rounds.
+  std::vector<ShardRun> m_Shards; ///< In the snapshot's order.
+  internal::SendLedger m_Sends;
   std::set<std::pair<TimePoint, std::size_t>> m_Turns;
   QueryCounters m_Counters;
   std::uint32_t m_Round = 0;
   std::size_t m_Unsettled = 0;
-  std::size_t m_PossiblyRun = 0; ///< Sends not known to have not run.
   bool m_Finished = false;
 };
 
--- a/packages/coordination/src/coordination/query/fwd.h
+++ b/packages/coordination/src/coordination/query/fwd.h
@@ -15,4 +15,12 @@
 struct SendSubrequest;
 struct ShardAnswer;
 
+namespace internal {
+
+class SendLedger;
+enum class SendState;
+struct SendRecord;
+
+} // namespace internal
+
 } // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/queue/OwnerQueues.cpp
@@ -0,0 +1,241 @@
+#include "coordination/queue/OwnerQueues.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carawaypond {
+
+std::optional<TimePoint> OwnerQueues::nextWake() const {
+  if (m_Wakes.empty())
+    return std::nullopt;
+  return m_Wakes.begin()->first;
+}
+
+Duration OwnerQueues::expectedWait(const ServiceName &Service,
+                                   const ClassName &Class,
+                                   TimePoint Now) const {
+  Duration Longest = Duration::zero();
+  for (const auto &[Key, Owned] : m_Queues)
+    if (std::get<ServiceName>(Key) == Service && Owned->Queue.waiting() > 0)
+      Longest = std::max(Longest, Owned->Queue.expectedWait(Class, Now));
+  return Longest;
+}
+
+QueueCounters OwnerQueues::counters() const {
+  QueueCounters Sum;
+  for (const auto &[Key, Owned] : m_Queues) {
+    const QueueCounters &Each = Owned->Queue.counters();
+    Sum.Sends += Each.Sends;
+    Sum.Hedges += Each.Hedges;
+    Sum.Retries += Each.Retries;
+    Sum.WrongVersions += Each.WrongVersions;
+    Sum.LateEvents += Each.LateEvents;
+  }
+  return Sum;
+}
+
+void OwnerQueues::configure(const ServiceName &Service,
+                            const ServiceQueueOptions &Options,
+                            VersionBoard &Versions) {
+  std::unique_ptr<ServiceState> &State = m_Services[Service];
+  if (!State)
+    State = std::make_unique<ServiceState>(
+        ServiceState{.Options = Options,
+                     .Versions = &Versions,
+                     .Budget = ExtraLoadBudget(Options.ExtraLoad),
+                     .Latencies = {}});
+  State->Options = Options;
+  State->Budget.reconfigure(Options.ExtraLoad);
+}
+
+void OwnerQueues::setSlots(const ServerName &Server, std::uint32_t Slots) {
+  m_Slots.setSlots(Server, Slots);
+}
+
+QueueActions OwnerQueues::setState(const ServerName &Server, ServerState State,
+                                   TimePoint Now) {
+  QueueActions Out;
+  m_Slots.setState(Server, State);
+  auto Found = m_ByServer.find(Server);
+  if (Found == m_ByServer.end())
+    return Out;
+  for (OwnedQueue *Owned : Found->second)
+    take(*Owned, Owned->Queue.onServersChanged(Now), Out);
+  return Out;
+}
+
+OwnerQueues::OwnedQueue &OwnerQueues::queueFor(const Subrequest &Request,
+                                               ServiceState &Service) {
+  std::unique_ptr<OwnedQueue> &Owned = m_Queues[{
+      Request.Service, Request.Layout, Request.Shard, Request.Replica}];
+  if (!Owned)
+    Owned = std::make_unique<OwnedQueue>(OwnedQueue{
+        .Queue =
+            ReplicaSetQueue({.Replicas = {},
+                             .Classes = Service.Options.Classes,
+                             .HedgeQuantile = Service.Options.HedgeQuantile},
+                            {.Slots = m_Slots,
+                             .Scores = m_Scores,
+                             .Attempts = m_AttemptIds,
+                             .Budget = Service.Budget,
+                             .Latencies = Service.Latencies,
+                             .Versions = *Service.Versions}),
+        .Replicas = {},
+        .WakeAt = std::nullopt});
+  return *Owned;
+}
+
+void OwnerQueues::useReplicas(OwnedQueue &Owned,
+                              std::vector<ServerName> Replicas, TimePoint Now,
+                              QueueActions &Out) {
+  if (Owned.Replicas == Replicas)
+    return;
+  stopListening(Owned);
+  Owned.Replicas = std::move(Replicas);
+  listen(Owned);
+  take(Owned, Owned.Queue.setReplicas(Owned.Replicas, Now), Out);
+}
+
+void OwnerQueues::listen(OwnedQueue &Owned) {
+  for (const ServerName &Server : Owned.Replicas)
+    m_ByServer[Server].push_back(&Owned);
+}
+
+void OwnerQueues::stopListening(OwnedQueue &Owned) {
+  for (const ServerName &Server : Owned.Replicas)
+    std::erase(m_ByServer[Server], &Owned);
+}
+
+void OwnerQueues::dropLayoutsBelow(const ServiceName &Service,
+                                   std::uint64_t Oldest) {
+  std::erase_if(m_Queues, [&](auto &Each) {
+    auto &[Key, Owned] = Each;
+    bool IsOld = std::get<ServiceName>(Key) == Service &&
+                 std::get<std::uint64_t>(Key) < Oldest;
+    if (!IsOld || !Owned->Queue.idle())
+      return false;
+    stopListening(*Owned);
+    return true;
+  });
+}
+
+/// Keeps the books about a queue's actions, and hands them on.
+void OwnerQueues::take(OwnedQueue &From, QueueActions Actions,
+                       QueueActions &Out) {
+  for (QueueAction &Action : Actions) {
+    if (const auto *Send = std::get_if<SendAttempt>(&Action))
+      m_ByAttempt.emplace(Send->Attempt,
+                          AttemptPlace{.Queue = &From, .Server = Send->Server});
+    if (const auto *Complete = std::get_if<CompleteSubrequest>(&Action))
+      m_BySubrequest.erase(Complete->Id);
+    Out.push_back(std::move(Action));
+  }
+  rearm(From);
+}
+
+void OwnerQueues::rearm(OwnedQueue &Owned) {
+  std::optional<TimePoint> WakeAt = Owned.Queue.nextWake();
+  if (WakeAt == Owned.WakeAt)
+    return;
+  if (Owned.WakeAt)
+    m_Wakes.erase({*Owned.WakeAt, &Owned});
+  if (WakeAt)
+    m_Wakes.emplace(*WakeAt, &Owned);
+  Owned.WakeAt = WakeAt;
+}
+
+QueueActions OwnerQueues::enqueue(Subrequest Request,
+                                  const std::vector<ServerName> &Replicas,
+                                  TimePoint Now) {
+  QueueActions Out;
+  auto Service = m_Services.find(Request.Service);
+  if (Service == m_Services.end()) {
+    Out.push_back(CompleteSubrequest{
+        .Id = Request.Id, .Outcome = SubNotRun{.Reason = SubReason::NoOwner}});
+    return Out;
+  }
+  OwnedQueue &Owned = queueFor(Request, *Service->second);
+  useReplicas(Owned,
+              Request.Replica ? std::vector<ServerName>{*Request.Replica}
+                              : Replicas,
+              Now, Out);
+  bool IsNew = m_BySubrequest.emplace(Request.Id, &Owned).second;
+  if (IsNew)
+    take(Owned, Owned.Queue.enqueue(std::move(Request), Now), Out);
+  return Out;
+}
+
+void OwnerQueues::onStarted(AttemptId Attempt, TimePoint Now) {
+  auto Found = m_ByAttempt.find(Attempt);
+  if (Found != m_ByAttempt.end())
+    Found->second.Queue->Queue.onStarted(Attempt, Now);
+}
+
+/// Hands the end of an attempt to its queue, and its slot to whoever waits.
+template <typename EventType>
+QueueActions OwnerQueues::endAttempt(AttemptId Attempt, TimePoint Now,
+                                     EventType Event) {
+  QueueActions Out;
+  auto Found = m_ByAttempt.find(Attempt);
+  if (Found == m_ByAttempt.end())
+    return Out;
+  AttemptPlace Place = std::move(Found->second);
+  m_ByAttempt.erase(Found);
+  take(*Place.Queue, Event(Place.Queue->Queue), Out);
+  pumpServer(Place.Server, Now, Out);
+  return Out;
+}
+
+QueueActions OwnerQueues::onAnswered(AttemptId Attempt, SubAnswered Answer,
+                                     TimePoint Now) {
+  return endAttempt(Attempt, Now, [&](ReplicaSetQueue &Queue) {
+    return Queue.onAnswered(Attempt, std::move(Answer), Now);
+  });
+}
+
+QueueActions OwnerQueues::onRefused(AttemptId Attempt,
+                                    const ServerRefusal &Refusal,
+                                    TimePoint Now) {
+  return endAttempt(Attempt, Now, [&](ReplicaSetQueue &Queue) {
+    return Queue.onRefused(Attempt, Refusal, Now);
+  });
+}
+
+QueueActions OwnerQueues::onLost(AttemptId Attempt, TimePoint Now) {
+  return endAttempt(Attempt, Now, [&](ReplicaSetQueue &Queue) {
+    return Queue.onLost(Attempt, Now);
+  });
+}
+
+/// Offers a server's free slots to the queues that wait, in turn.
+void OwnerQueues::pumpServer(const ServerName &Server, TimePoint Now,
+                             QueueActions &Out) {
+  std::vector<OwnedQueue *> &Queues = m_ByServer[Server];
+  std::size_t First = m_NextToPump++;
+  for (std::size_t I = 0; I < Queues.size() && m_Slots.hasFree(Server); ++I) {
+    OwnedQueue &Owned = *Queues[(First + I) % Queues.size()];
+    if (Owned.Queue.waiting() > 0)
+      take(Owned, Owned.Queue.tick(Now), Out);
+  }
+}
+
+QueueActions OwnerQueues::cancel(SubrequestId Id, TimePoint Now) {
+  QueueActions Out;
+  auto Found = m_BySubrequest.find(Id);
+  if (Found != m_BySubrequest.end()) {
+    OwnedQueue &Owned = *Found->second;
+    take(Owned, Owned.Queue.cancel(Id, Now), Out);
+  }
+  return Out;
+}
+
+QueueActions OwnerQueues::tick(TimePoint Now) {
+  QueueActions Out;
+  while (!m_Wakes.empty() && m_Wakes.begin()->first <= Now) {
+    OwnedQueue &Owned = *m_Wakes.begin()->second;
+    take(Owned, Owned.Queue.tick(Now), Out);
+  }
+  return Out;
+}
+
+} // namespace carawaypond
--- a/packages/coordination/src/coordination/queue/ReplicaSetQueue.h
+++ b/packages/coordination/src/coordination/queue/ReplicaSetQueue.h
@@ -60,6 +60,10 @@
 
   /// @return Subrequests that wait for a slot.
   [[nodiscard]] std::size_t waiting() const { return m_Scheduler.size(); }
+  /// @return Whether nothing waits, and nothing is at a backend server.
+  [[nodiscard]] bool idle() const {
+    return m_Entries.empty() && m_Attempts.empty();
+  }
   /// @return When tick() is due next, if at all.
   [[nodiscard]] std::optional<TimePoint> nextWake() const;
   /// @return How long a subrequest enqueued now would wait for a slot.
--- a/packages/coordination/src/coordination/queue/fwd.h
+++ b/packages/coordination/src/coordination/queue/fwd.h
@@ -3,6 +3,7 @@
 namespace carawaypond {
 
 class ClassScheduler;
+class OwnerQueues;
 class ReplicaChoice;
 class ReplicaSetQueue;
 class ServerSlots;
@@ -12,5 +13,6 @@
 struct ReplicaSetQueueOptions;
 struct SendAttempt;
 struct ServerRefusal;
+struct ServiceQueueOptions;
 
 } // namespace carawaypond
--- a/packages/coordination/src/coordination/snapshot/SnapshotPinner.cpp
+++ b/packages/coordination/src/coordination/snapshot/SnapshotPinner.cpp
@@ -6,11 +6,7 @@
 
 Result<std::shared_ptr<const PinnedSnapshot>> SnapshotPinner::pin() {
   if (!m_Fresh || m_PinnedRevision != m_Board.revision()) {
-    Result<PinnedSnapshot> Found = pinSnapshot(m_Index, m_Board);
-    m_Pinned =
-        Found ? std::make_shared<const PinnedSnapshot>(std::move(Found).value())
-              : nullptr;
-    m_WhyNot = Found ? std::string() : Found.error().Message;
+    pinAnew();
     m_PinnedRevision = m_Board.revision();
     m_Fresh = true;
   }
@@ -19,6 +15,15 @@
   return m_Pinned;
 }
 
+void SnapshotPinner::pinAnew() {
+  m_Pinned = nullptr;
+  Result<PinnedSnapshot> Found = pinSnapshot(m_Index, m_Board);
+  if (Found)
+    m_Pinned = std::make_shared<const PinnedSnapshot>(std::move(Found).value());
+  else
+    m_WhyNot = Found.error().Message;
+}
+
 void SnapshotPinner::setIndex(IndexObject Index) {
   if (Index.ObjectVersion < m_Index.ObjectVersion)
     return;
--- a/packages/coordination/src/coordination/snapshot/SnapshotPinner.h
+++ b/packages/coordination/src/coordination/snapshot/SnapshotPinner.h
@@ -25,6 +25,8 @@
   void setIndex(IndexObject Index);
 
 private:
+  void pinAnew();
+
   IndexObject m_Index;
   VersionBoard m_Board;
   std::shared_ptr<const PinnedSnapshot> m_Pinned;
