Choosing a replica copies no names, and hedges wait without spinning

A due hedge without another replica to go to was armed again each millisecond; it is given up now, and only one that lacks a free slot is tried again.

--- a/packages/coordination/src/coordination/queue/ReplicaChoice.cpp
+++ b/packages/coordination/src/coordination/queue/ReplicaChoice.cpp
@@ -41,18 +41,27 @@
 }
 
 bool ReplicaChoice::anyCandidate(const internal::QueueEntry &E) const {
-  return !candidates(E).empty();
+  return std::any_of(
+      m_Replicas.begin(), m_Replicas.end(),
+      [&](const ServerName &Server) { return mayGet(E, Server); });
+}
+
+bool ReplicaChoice::mayGet(const internal::QueueEntry &E,
+                           const ServerName &Server) const {
+  return m_Slots.stateOf(Server) == ServerState::Up &&
+         !contains(E.Tried, Server);
 }
 
 /// Replicas that may get the entry, of those the ones that best serve its
 /// version; whether a slot is free does not count.
-std::vector<ServerName>
+std::vector<const ServerName *>
 ReplicaChoice::candidates(const internal::QueueEntry &E) const {
   constexpr int WorstRank = 3;
-  std::vector<ServerName> Best;
+  std::vector<const ServerName *> Best;
+  Best.reserve(m_Replicas.size());
   int BestRank = WorstRank;
   for (const ServerName &Server : m_Replicas) {
-    if (contains(E.Tried, Server) || m_Slots.stateOf(Server) != ServerState::Up)
+    if (!mayGet(E, Server))
       continue;
     int Rank = rankOf(m_Versions.serves(Server, E.Request.Shard,
                                         E.Request.Layout, E.Request.Version));
@@ -61,26 +70,28 @@
     if (Rank < BestRank)
       Best.clear();
     BestRank = Rank;
-    Best.push_back(Server);
+    Best.push_back(&Server);
   }
   return Best;
 }
 
 std::optional<ServerName>
 ReplicaChoice::chooseFree(const internal::QueueEntry &E, TimePoint Now) const {
-  std::optional<ServerName> Chosen;
+  const ServerName *Chosen = nullptr;
   Duration Least = Duration::max();
-  for (const ServerName &Server : candidates(E)) {
-    if (!m_Slots.hasFree(Server))
+  for (const ServerName *Server : candidates(E)) {
+    if (!m_Slots.hasFree(*Server))
       continue;
-    Duration Expected = m_Scores.expected(Server, Now) *
-                        (m_Slots.inUse(Server) + 1) / m_Slots.slots(Server);
+    Duration Expected = m_Scores.expected(*Server, Now) *
+                        (m_Slots.inUse(*Server) + 1) / m_Slots.slots(*Server);
     if (Expected >= Least)
       continue;
     Least = Expected;
     Chosen = Server;
   }
-  return Chosen;
+  if (Chosen == nullptr)
+    return std::nullopt;
+  return *Chosen;
 }
 
 void ReplicaChoice::setReplicas(std::vector<ServerName> Replicas) {
--- a/packages/coordination/src/coordination/queue/ReplicaChoice.h
+++ b/packages/coordination/src/coordination/queue/ReplicaChoice.h
@@ -33,7 +33,9 @@
   void setReplicas(std::vector<ServerName> Replicas);
 
 private:
-  [[nodiscard]] std::vector<ServerName>
+  [[nodiscard]] bool mayGet(const internal::QueueEntry &E,
+                            const ServerName &Server) const;
+  [[nodiscard]] std::vector<const ServerName *>
   candidates(const internal::QueueEntry &E) const;
 
   std::vector<ServerName> m_Replicas;
--- a/packages/coordination/src/coordination/queue/ReplicaSetQueue.cpp
+++ b/packages/coordination/src/coordination/queue/ReplicaSetQueue.cpp
@@ -14,6 +14,8 @@
 
 constexpr double TypicalQuantile = 0.5;
 constexpr Duration DefaultService = Milliseconds(5);
+/// How soon a hedge that found no free slot is tried again.
+constexpr Duration HedgeRetryDelay = Milliseconds(1);
 
 } // namespace
 
@@ -270,9 +272,11 @@
   while (!m_HedgeTimers.empty() && m_HedgeTimers.begin()->first <= Now) {
     Entry &E = m_Entries.at(m_HedgeTimers.begin()->second);
     disarmHedge(E);
+    if (!m_Choice.anyCandidate(E))
+      continue;
     std::optional<ServerName> Server = m_Choice.chooseFree(E, Now);
     if (!Server) {
-      armHedge(E, Now + m_Options.MinHedgeDelay);
+      armHedge(E, Now + HedgeRetryDelay);
       continue;
     }
     if (!m_Resources.Budget.trySpend())
