--- a/standins/src/backends/index/ReplicaWindow.cpp
+++ b/standins/src/backends/index/ReplicaWindow.cpp
@@ -43,6 +43,7 @@
         Ranges[Shard.Shard].push_back(*Range);
   }
   std::vector<ReplicaVersions> Served;
+  Served.reserve(Ranges.size());
   for (auto &[Shard, Of] : Ranges)
     Served.push_back(
         {.Server = m_Server, .Shard = Shard, .Ranges = std::move(Of)});
--- a/standins/src/common/Overloaded.h
+++ b/standins/src/common/Overloaded.h
@@ -7,4 +7,6 @@
   using Visitors::operator()...;
 };
 
+template <class... Visitors> Overloaded(Visitors...) -> Overloaded<Visitors...>;
+
 } // namespace carawaypond::standins
--- /dev/null
+++ b/standins/test/backends/RunLogTest.cpp
@@ -0,0 +1,49 @@
+#include "backends/log/RunLog.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace carawaypond::standins;
+
+namespace {
+
+RunLogEntry entry(RunEvent Event, std::string Token, std::uint32_t Shard = 0) {
+  return {.Seq = 0,
+          .Id = "id",
+          .Token = std::move(Token),
+          .Service = "claims",
+          .Server = "s-1",
+          .Reason = {},
+          .Shard = Shard,
+          .Event = Event};
+}
+
+} // namespace
+
+TEST_CASE("the log goes on after any sequence number and forgets the oldest") {
+  RunLog Log(3);
+  for (int I = 0; I < 5; ++I)
+    Log.add(entry(RunEvent::Received, ""));
+  nlohmann::json All = Log.entriesAfter(0, 10);
+  CHECK(All["first"] == 3);
+  CHECK(All["next"] == 5);
+  CHECK(All["entries"].size() == 3);
+  nlohmann::json Some = Log.entriesAfter(3, 1);
+  CHECK(Some["entries"][0]["seq"] == 4);
+  CHECK(Some["next"] == 4);
+  CHECK(Log.entriesAfter(5, 10)["entries"].empty());
+  CHECK(Log.entriesAfter(5, 10)["next"] == 5);
+}
+
+TEST_CASE("only what started counts as a run, for each shard") {
+  RunLog Log;
+  Log.add(entry(RunEvent::Received, "t"));
+  Log.add(entry(RunEvent::Refused, "t"));
+  CHECK(Log.runsOf("t")["runs"] == 0);
+  Log.add(entry(RunEvent::Started, "t", 0));
+  Log.add(entry(RunEvent::Started, "t", 1));
+  Log.add(entry(RunEvent::Started, "t", 1));
+  nlohmann::json Runs = Log.runsOf("t");
+  CHECK(Runs["runs"] == 3);
+  CHECK(Runs["shards"][1]["runs"] == 2);
+}
