--- a/packages/peer/src/peer/loop/PendingReply.h
+++ b/packages/peer/src/peer/loop/PendingReply.h
@@ -23,7 +23,8 @@
 
   /// @param Queue Carries the reply, and the fulfiller's end, to the node's
   /// thread.
-  [[nodiscard]] static PendingReply make(std::shared_ptr<TaskQueue> Queue) {
+  [[nodiscard]] static PendingReply
+  make(const std::shared_ptr<TaskQueue> &Queue) {
     using Fulfiller = kj::Own<kj::PromiseFulfiller<OwnedResult>>;
     auto Pair = kj::newPromiseAndFulfiller<OwnedResult>();
     auto Destroy = [Queue](Fulfiller *Owned) {
--- a/packages/peer/src/peer/session/PeerServer.cpp
+++ b/packages/peer/src/peer/session/PeerServer.cpp
@@ -13,6 +13,18 @@
 
 namespace carawaypond::peer {
 
+namespace {
+
+/// Fails the call when the daemon has no answer.
+template <typename T> const T &valueOf(const Result<T> &Outcome) {
+  if (!Outcome)
+    kj::throwFatalException(
+        KJ_EXCEPTION(FAILED, Outcome.error().Message.c_str()));
+  return Outcome.value();
+}
+
+} // namespace
+
 class PeerServer::OpenCall {
 public:
   explicit OpenCall(PeerServer &Server) : m_Server(Server) {
@@ -60,8 +72,7 @@
                                 readDigest(Context.getParams().getDigest()),
                                 std::move(Pending.OnReply));
   return Pending.Outcome.then([Context](kj::Own<Result<Digest>> Own) mutable {
-    KJ_REQUIRE(Own->has_value(), "no digest can be had", Own->error().Message);
-    writeDigest(Own->value(), Context.getResults().initDigest());
+    writeDigest(valueOf(*Own), Context.getResults().initDigest());
   });
 }
 
@@ -131,9 +142,7 @@
                              std::move(Pending.OnReply));
   return Pending.Outcome
       .then([Context](kj::Own<Result<PeerQueryAnswer>> Outcome) mutable {
-        KJ_REQUIRE(Outcome->has_value(), "the query is in doubt",
-                   Outcome->error().Message);
-        const PeerQueryAnswer &Given = Outcome->value();
+        const PeerQueryAnswer &Given = valueOf(*Outcome);
         auto Answer = Context.getResults();
         Answer.setAccepted(true);
         Answer.setStatus(Given.Status);
@@ -192,9 +201,7 @@
   return Pending.Outcome
       .then([Context, MaxBytes = m_Context.Options.MaxMessageBytes](
                 kj::Own<Result<std::vector<StoredObject>>> Outcome) mutable {
-        KJ_REQUIRE(Outcome->has_value(), "the objects can't be had",
-                   Outcome->error().Message);
-        const std::vector<StoredObject> &Objects = Outcome->value();
+        const std::vector<StoredObject> &Objects = valueOf(*Outcome);
         std::size_t Count = countThatFit(Objects, MaxBytes);
         auto Answer = Context.getResults();
         writeObjects(Objects,
