--- a/packages/coordination/proof/FleetModel.cpp
+++ b/packages/coordination/proof/FleetModel.cpp
@@ -114,6 +114,15 @@
   m_CalmSince = std::max(m_CalmSince, Until);
 }
 
+void FleetModel::restart(std::size_t Vm, Duration Down) {
+  Slot &Place = m_Slots[Vm];
+  Place.Node.reset();
+  Place.Inbox.clear();
+  Place.PausedUntil = m_Now;
+  Place.StartAt = m_Now + Down;
+  disturb(Place, Place.StartAt);
+}
+
 void FleetModel::injectFaults() {
   m_CalmSince = std::max(m_CalmSince, m_Now);
   for (Slot &Vm : m_Slots) {
@@ -123,13 +132,8 @@
           std::max(Vm.PausedUntil, m_Now + Milliseconds(draw(Longest)));
       disturb(Vm, Vm.PausedUntil);
     }
-    if (Vm.Node && chance(m_Faults.Restart)) {
-      Vm.Node.reset();
-      Vm.Inbox.clear();
-      Vm.PausedUntil = m_Now;
-      Vm.StartAt = m_Now + Milliseconds(draw(4000));
-      disturb(Vm, Vm.StartAt);
-    }
+    if (Vm.Node && chance(m_Faults.Restart))
+      restart(indexOf(Vm.Name), Milliseconds(draw(4000)));
   }
   if (chance(m_Faults.StoreOutage))
     m_StoreDownUntil = m_Now + Milliseconds(draw(20000));
--- a/packages/coordination/proof/FleetModel.h
+++ b/packages/coordination/proof/FleetModel.h
@@ -77,6 +77,10 @@
   void step(const std::function<void()> &Check);
   void startFaults() { m_WithFaults = true; }
   void stopFaults();
+  /// @brief Takes the store away from all VMs.
+  void stopStore(Duration For) { m_StoreDownUntil = m_Now + For; }
+  /// @brief Ends a VM; its successor starts after @p Down, knowing nothing.
+  void restart(std::size_t Vm, Duration Down);
   /// @brief Reads or writes the store for @p Vm; the answer may be lost, and
   /// then comes as an error or InDoubt.
   void read(std::size_t Vm, const ReadObject &Action, ReadDone Done);
--- a/packages/coordination/src/coordination/freshness/Freshness.cpp
+++ b/packages/coordination/src/coordination/freshness/Freshness.cpp
@@ -64,6 +64,8 @@
 }
 
 void Freshness::tick(std::optional<TimePoint> MajorityAsOf, TimePoint Now) {
+  if (internal::isMutant(internal::Mutant::ForgetMajority))
+    return;
   if (m_Informed && MajorityAsOf)
     extend(*MajorityAsOf + m_Options.Bound, Now);
   // A right that holds this long after the first one rests on evidence that
--- a/packages/coordination/src/coordination/internal/Mutant.h
+++ b/packages/coordination/src/coordination/internal/Mutant.h
@@ -20,6 +20,7 @@
   StopAtOnce,          ///< Stops without waiting for old address answers.
   TakeAnyVersion,      ///< Takes a lower version of a configuration.
   SkipReadBack,        ///< Guesses the outcome of a write in doubt.
+  ForgetMajority,      ///< Stops serving whenever the store is out.
   ServeUnconfirmed,    ///< Serves although its configuration may be old.
 };
 
--- a/packages/coordination/src/coordination/membership/Membership.cpp
+++ b/packages/coordination/src/coordination/membership/Membership.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::size_t MaxWitnesses = 3;
+// After it a VM that hears nobody no longer waits for somebody to answer.
+constexpr std::uint64_t LonelyAfterMillis = 5000;
 constexpr std::uint32_t AnnouncementFactor = 3; // times log2 of the VMs
 
 } // namespace
@@ -81,7 +83,8 @@
 std::optional<TimePoint> Membership::directAsOf(TimePoint Now) const {
   std::size_t Others = liveVms().size();
   Others -= m_Self.State == VmState::Live ? 1 : 0;
-  if (Others == 0)
+  bool IsLonely = awakeMillis(Now) >= LonelyAfterMillis || isAlone();
+  if (Others == 0 && IsLonely)
     return Now;
   std::size_t Half = (livePeers().size() + 1) / 2;
   return m_Tally.directAsOf(std::clamp<std::size_t>(Half, 1, MaxWitnesses));
--- a/packages/coordination/src/coordination/membership/Membership.h
+++ b/packages/coordination/src/coordination/membership/Membership.h
@@ -44,7 +44,8 @@
   /// smaller part of a partitioned fleet never takes itself for the whole.
   [[nodiscard]] std::optional<TimePoint> majorityAsOf(TimePoint Now) const;
   /// @return The time as of which a few other VMs answered this one, enough
-  /// to know what spreads; @p Now when no other VM is live.
+  /// to know what spreads; @p Now when there is none, or none was heard for
+  /// long.
   [[nodiscard]] std::optional<TimePoint> directAsOf(TimePoint Now) const;
   /// @return Whether no other VM may still run.
   [[nodiscard]] bool isAlone() const { return countOthers() == 0; }
