--- a/packages/coordination/proof/ConfigurationProof.cpp
+++ b/packages/coordination/proof/ConfigurationProof.cpp
@@ -5,6 +5,8 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
+#include <vector>
 
 namespace carawaypond::proof {
 
@@ -71,8 +73,8 @@
     return New;
   }
 
-  void follow(std::size_t Vm, std::shared_ptr<SubmissionPlan> Plan,
-              SubmissionId Id, const SubmissionAction &Action) {
+  void follow(std::size_t Vm, const std::shared_ptr<SubmissionPlan> &Plan,
+              const SubmissionId &Id, const SubmissionAction &Action) {
     if (const auto *Finish = std::get_if<FinishSubmission>(&Action)) {
       finish(Id, Finish->Outcome);
       return;
--- a/packages/coordination/proof/FleetModel.cpp
+++ b/packages/coordination/proof/FleetModel.cpp
@@ -276,7 +276,8 @@
   });
 }
 
-void FleetModel::read(std::size_t Vm, const ReadObject &Action, ReadDone Done) {
+void FleetModel::read(std::size_t Vm, const ReadObject &Action,
+                      const ReadDone &Done) {
   TimePoint At = m_Now + Action.After + delay();
   if (!reachesStore(Vm)) {
     schedule(At, [=, this] {
@@ -297,7 +298,7 @@
 }
 
 void FleetModel::write(std::size_t Vm, const WriteObject &Action,
-                       WriteDone Done) {
+                       const WriteDone &Done) {
   if (!reachesStore(Vm)) {
     deliver(Vm, [=] { Done(WriteResult::InDoubt); });
     return;
--- a/packages/coordination/proof/FleetModel.h
+++ b/packages/coordination/proof/FleetModel.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <queue>
 #include <random>
+#include <tuple>
 #include <vector>
 
 namespace carawaypond::proof {
@@ -83,8 +84,8 @@
   void restart(std::size_t Vm, Duration Down);
   /// @brief Reads or writes the store for @p Vm; the answer may be lost, and
   /// then comes as an error or InDoubt.
-  void read(std::size_t Vm, const ReadObject &Action, ReadDone Done);
-  void write(std::size_t Vm, const WriteObject &Action, WriteDone Done);
+  void read(std::size_t Vm, const ReadObject &Action, const ReadDone &Done);
+  void write(std::size_t Vm, const WriteObject &Action, const WriteDone &Done);
   /// @brief Runs @p Event at the VM after a random delay, unless it restarts.
   void deliver(std::size_t Vm, std::function<void()> Event);
 
