Proofs run with every unit of ownership

The proofs had only run with shards owned whole; an owner for each replica and direct sending take other paths (a queue of one replica, no other VM to turn to). Each case now picks one of the three; a proof for each unit was ruled out, as it would triple the list for the same promises.

--- a/packages/coordination/proof/ProofTrueCoverage.cpp
+++ b/packages/coordination/proof/ProofTrueCoverage.cpp
@@ -1,5 +1,5 @@
 #include "ProofRegistry.h"
-#include "TrafficWorld.h"
+#include "TrafficProof.h"
 
 namespace carawaypond::proof {
 
--- a/packages/coordination/proof/TrafficWorld.cpp
+++ b/packages/coordination/proof/TrafficWorld.cpp
@@ -1,7 +1,5 @@
 #include "TrafficWorld.h"
 
-#include "ProofRegistry.h"
-
 #include <algorithm>
 #include <string>
 
@@ -27,11 +25,9 @@
   return VmName("vm-" + std::to_string(Number));
 }
 
-std::shared_ptr<const RouteTable> makeRoutes() {
-  RouteTableOptions Options{.Unit = OwnerOfShard{},
-                            .Self = ownerName(0),
-                            .LiveVms = {},
-                            .Fallbacks = 2};
+std::shared_ptr<const RouteTable> makeRoutes(OwnershipUnit Unit) {
+  RouteTableOptions Options{
+      .Unit = Unit, .Self = ownerName(0), .LiveVms = {}, .Fallbacks = 2};
   for (std::uint32_t I = 0; I < OwnerCount; ++I)
     Options.LiveVms.push_back(ownerName(I));
   return std::make_shared<const RouteTable>(std::move(Options));
@@ -52,10 +48,10 @@
 
 } // namespace
 
-TrafficWorld::TrafficWorld(TrafficPromise Promise)
+TrafficWorld::TrafficWorld(TrafficPromise Promise, OwnershipUnit Unit)
     : m_Now(std::chrono::hours(1)),
       m_Pinner(std::make_unique<SnapshotPinner>(makeIndex())),
-      m_Routes(makeRoutes()), m_Checker(Promise) {
+      m_Routes(makeRoutes(Unit)), m_Checker(Promise) {
   for (std::uint32_t I = 0; I < OwnerCount; ++I)
     m_Owners.push_back(std::make_unique<OwnerModel>(ownerName(I), Service));
   for (const ServerInfo &Info : m_Pinner->index().Servers) {
@@ -378,23 +374,4 @@
   m_Checker.onEnd();
 }
 
-void proveInTraffic(ProofContext &Context, TrafficPromise Promise,
-                    const std::string &Description) {
-  Context.forAll(Description, [&Context, Promise] {
-    std::vector<Step> Steps = *steps();
-    TrafficWorld World(Promise);
-    for (const Step &Next : Steps)
-      World.apply(Next);
-    World.drain();
-    Context.countEvents(World.events());
-    for (const auto &[Kind, Count] : World.checker().outcomes())
-      Context.countCases(Kind, Count);
-    for (const auto &[Kind, Count] : World.counters())
-      Context.countCases(Kind, Count);
-    const std::vector<std::string> &Violations = World.checker().violations();
-    if (!Violations.empty())
-      RC_FAIL(Violations.front());
-  });
-}
-
 } // namespace carawaypond::proof
--- a/packages/coordination/proof/TrafficWorld.h
+++ b/packages/coordination/proof/TrafficWorld.h
@@ -14,13 +14,11 @@
 
 namespace carawaypond::proof {
 
-class ProofContext;
-
 /// @brief One coordinator, its owners, backend servers and the network between
 /// them, driven by random steps. It keeps what really ran, for the checker.
 class TrafficWorld {
 public:
-  explicit TrafficWorld(TrafficPromise Promise);
+  TrafficWorld(TrafficPromise Promise, OwnershipUnit Unit);
 
   [[nodiscard]] const ResultChecker &checker() const { return m_Checker; }
   [[nodiscard]] std::uint64_t events() const { return m_Events; }
@@ -72,8 +70,4 @@
   ResultChecker m_Checker;
 };
 
-/// @brief Tries random worlds for one promise.
-void proveInTraffic(ProofContext &Context, TrafficPromise Promise,
-                    const std::string &Description);
-
 } // namespace carawaypond::proof
