Stand-ins: publications can't undo each other, replicas catch up, cheap log

A publication took the index's text before it read the object's version, so a slower one could write an older index over a newer one; it is now taken after the read. Replicas that lagged had no way to catch up between versions: max_lag 0 does it.

--- a/standins/src/backends/log/RunLog.cpp
+++ b/standins/src/backends/log/RunLog.cpp
@@ -25,29 +25,39 @@
   return "";
 }
 
-nlohmann::json toJson(const RunLogEntry &Entry) {
-  nlohmann::json Json = {
-      {"seq", Entry.Seq},           {"id", Entry.Id},
-      {"service", Entry.Service},   {"shard", Entry.Shard},
-      {"server", Entry.Server},     {"version", Entry.Version},
-      {"token", Entry.Token},       {"event", nameOf(Entry.Event)},
-      {"wall_us", Entry.WallMicros}};
-  if (!Entry.Reason.empty())
-    Json["reason"] = Entry.Reason;
-  return Json;
+std::string quoted(const std::string &Text) {
+  return nlohmann::json(Text).dump();
+}
+
+void appendEntry(std::string &Text, const RunLogEntry &Entry) {
+  Text += R"({"seq":)" + std::to_string(Entry.Seq);
+  Text += R"(,"id":)" + quoted(Entry.Id);
+  Text.append(R"(,"service":")").append(Entry.Service);
+  Text += R"(","shard":)" + std::to_string(Entry.Shard);
+  Text.append(R"(,"server":")").append(Entry.Server);
+  Text += R"(","version":)" + std::to_string(Entry.Version);
+  Text += R"(,"token":)" + quoted(Entry.Token);
+  Text.append(R"(,"event":")").append(nameOf(Entry.Event));
+  Text.append(R"(","reason":")").append(Entry.Reason);
+  Text += R"(","wall_us":)" + std::to_string(Entry.WallMicros) + "}";
 }
 
 } // namespace
 
-nlohmann::json RunLog::entriesAfter(std::uint64_t Seq,
-                                    std::size_t Limit) const {
+std::string RunLog::entriesAfter(std::uint64_t Seq, std::size_t Limit) const {
   std::uint64_t First = m_LastSeq - m_Entries.size() + 1;
   std::uint64_t From = std::max(Seq + 1, First);
-  nlohmann::json Entries = nlohmann::json::array();
-  while (From <= m_LastSeq && Entries.size() < Limit)
-    Entries.push_back(toJson(m_Entries[From++ - First]));
-  return {
-      {"first", First}, {"next", From - 1}, {"entries", std::move(Entries)}};
+  std::uint64_t Until = From + std::min<std::uint64_t>(Limit, m_Entries.size());
+  Until = std::max(From, std::min(Until, m_LastSeq + 1));
+  std::string Text = R"({"entries":[)";
+  for (std::uint64_t At = From; At < Until; ++At) {
+    if (At > From)
+      Text += ',';
+    appendEntry(Text, m_Entries[At - First]);
+  }
+  Text += R"(],"first":)" + std::to_string(First);
+  Text += R"(,"next":)" + std::to_string(Until - 1) + "}";
+  return Text;
 }
 
 nlohmann::json RunLog::runsOf(const std::string &Token) const {
--- a/standins/src/backends/log/RunLog.h
+++ b/standins/src/backends/log/RunLog.h
@@ -23,10 +23,10 @@
   explicit RunLog(std::size_t Capacity = DefaultCapacity)
       : m_Capacity(Capacity) {}
 
-  /// @return `{"first", "next", "entries": [..]}` with at most @p Limit entries
-  /// whose sequence number is above @p Seq.
-  [[nodiscard]] nlohmann::json entriesAfter(std::uint64_t Seq,
-                                            std::size_t Limit) const;
+  /// @return The text of `{"first", "next", "entries": [..]}` with at most
+  /// @p Limit entries whose sequence number is above @p Seq.
+  [[nodiscard]] std::string entriesAfter(std::uint64_t Seq,
+                                         std::size_t Limit) const;
   /// @return `{"token", "runs", "shards": [{"service", "shard", "runs"}]}`;
   /// a run counts once it has started.
   [[nodiscard]] nlohmann::json runsOf(const std::string &Token) const;
--- a/standins/src/backends/server/ControlServer.cpp
+++ b/standins/src/backends/server/ControlServer.cpp
@@ -66,9 +66,9 @@
   if (Request.Method == "POST" && Request.Path == "/control")
     return control(Request);
   if (Request.Path == "/control/log")
-    return jsonReply(200, m_Fleet.log().entriesAfter(
-                              Query.integerOr("after", 0),
-                              Query.integerOr("limit", DefaultLogLimit)));
+    return {.Body = m_Fleet.log().entriesAfter(
+                Query.integerOr("after", 0),
+                Query.integerOr("limit", DefaultLogLimit))};
   if (Request.Path == "/control/runs")
     return jsonReply(200,
                      m_Fleet.log().runsOf(Query.find("token").value_or("")));
--- a/standins/src/backends/server/Fleet.cpp
+++ b/standins/src/backends/server/Fleet.cpp
@@ -62,6 +62,12 @@
   return Made;
 }
 
+void Fleet::setMaxLag(ServiceRuntime &Service, std::uint64_t MaxLag) {
+  Service.Timeline.setMaxLag(MaxLag);
+  for (BackendServer *Server : find(Service).Servers)
+    Server->followIndex();
+}
+
 void Fleet::setEvery(ServiceRuntime &Service, Milliseconds Every) {
   Service.Timeline.setEvery(Every);
   find(Service).EveryChanged.notify();
--- a/standins/src/backends/server/Fleet.h
+++ b/standins/src/backends/server/Fleet.h
@@ -38,6 +38,8 @@
   /// @brief Makes up to @p Count new versions of the index.
   /// @return How many were made.
   std::uint64_t advance(ServiceRuntime &Service, std::uint64_t Count);
+  /// @brief Sets the replicas' lag in versions; 0 lets all catch up.
+  void setMaxLag(ServiceRuntime &Service, std::uint64_t MaxLag);
   /// @brief Sets the time between versions; 0 for never.
   void setEvery(ServiceRuntime &Service, Milliseconds Every);
   /// @brief Announces that @p Server leaves, or serves again, in its index.
--- a/standins/src/backends/server/IndexChange.cpp
+++ b/standins/src/backends/server/IndexChange.cpp
@@ -51,7 +51,7 @@
 void apply(const IndexChange &Change, ServiceRuntime &Service, Fleet &Owner) {
   IndexTimeline &Timeline = Service.Timeline;
   if (Change.MaxLag)
-    Timeline.setMaxLag(*Change.MaxLag);
+    Owner.setMaxLag(Service, *Change.MaxLag);
   if (Change.Withdraw)
     Timeline.withdraw(*Change.Withdraw);
   if (Change.Layout) {
--- a/standins/src/backends/server/IndexPublisher.cpp
+++ b/standins/src/backends/server/IndexPublisher.cpp
@@ -41,37 +41,38 @@
     : m_Platform(std::move(Platform)) {}
 
 asio::awaitable<void> IndexPublisher::publish(IndexTimeline &Timeline) {
-  while (true) {
-    // Read anew each time: a concurrent publication must not be undone.
-    std::uint64_t Layout = Timeline.index().Layouts.back().Layout;
-    std::string Value = toJson(Timeline.index()).dump();
-    if (co_await tryPublish(Timeline.index().Name, Value)) {
-      Timeline.confirmPublished(Layout);
-      co_return;
-    }
+  bool Done = co_await tryPublish(Timeline);
+  while (!Done) {
     co_await sleepFor(RetryPause);
+    Done = co_await tryPublish(Timeline);
   }
 }
 
-asio::awaitable<bool> IndexPublisher::tryPublish(const std::string &Name,
-                                                 const std::string &Value) {
-  HttpCall Read{.Server = m_Platform, .Target = "/v1/objects/index/" + Name};
+asio::awaitable<bool> IndexPublisher::tryPublish(IndexTimeline &Timeline) {
+  std::string Target = "/v1/objects/index/" + Timeline.index().Name;
+  HttpCall Read{.Server = m_Platform, .Target = Target};
   CurrentObject Current = readCurrent(co_await call(Read));
   if (!Current.Known)
     co_return false;
-  if (Current.Value == Value)
-    co_return true;
+  // Taken after the read: a newer index that another publication has written
+  // since then makes the conditional write fail and is not undone.
+  std::uint64_t Layout = Timeline.index().Layouts.back().Layout;
   HttpCall Write{.Server = m_Platform,
                  .Method = "PUT",
-                 .Target = "/v1/objects/index/" + Name,
-                 .Body = Value};
-  if (Current.Version == 0)
-    Write.IfNoneMatch = "*";
-  else
-    Write.IfMatch = "\"" + std::to_string(Current.Version) + "\"";
-  Result<HttpAnswer> Answer = co_await call(std::move(Write));
-  co_return Answer &&
-      (Answer.value().Status == 200 || Answer.value().Status == 201);
+                 .Target = Target,
+                 .Body = toJson(Timeline.index()).dump()};
+  if (Current.Value != Write.Body) {
+    bool IsNew = Current.Version == 0;
+    Write.IfNoneMatch = IsNew ? "*" : "";
+    Write.IfMatch = IsNew ? "" : "\"" + std::to_string(Current.Version) + "\"";
+    Result<HttpAnswer> Answer = co_await call(std::move(Write));
+    bool IsWritten = Answer && (Answer.value().Status == 200 ||
+                                Answer.value().Status == 201);
+    if (!IsWritten)
+      co_return false;
+  }
+  Timeline.confirmPublished(Layout);
+  co_return true;
 }
 
 } // namespace carawaypond::standins
--- a/standins/src/backends/server/IndexPublisher.h
+++ b/standins/src/backends/server/IndexPublisher.h
@@ -20,8 +20,7 @@
   boost::asio::awaitable<void> publish(IndexTimeline &Timeline);
 
 private:
-  boost::asio::awaitable<bool> tryPublish(const std::string &Name,
-                                          const std::string &Value);
+  boost::asio::awaitable<bool> tryPublish(IndexTimeline &Timeline);
 
   std::string m_Platform;
 };
--- a/standins/src/platform/CallCounts.cpp
+++ b/standins/src/platform/CallCounts.cpp
@@ -5,7 +5,10 @@
 namespace carawaypond::standins {
 
 nlohmann::json CallCounts::toJson() const {
-  return {{"total", m_Total}, {"watching", m_Watching}, {"calls", m_Calls}};
+  return {{"total", m_Total},
+          {"dropped", m_Dropped},
+          {"watching", m_Watching},
+          {"calls", m_Calls}};
 }
 
 void CallCounts::count(const std::string &Kind, const std::string &Method) {
--- a/standins/src/platform/PlatformServer.cpp
+++ b/standins/src/platform/PlatformServer.cpp
@@ -107,8 +107,10 @@
     co_return control(Request);
   if (m_Faults.delay() > Duration::zero())
     co_await sleepFor(m_Faults.delay());
-  if (m_Faults.down())
+  if (m_Faults.down()) {
+    m_Counts.countDropped();
     co_return HttpReply{.How = Delivery::Dropped};
+  }
   co_return co_await handlePlatform(Request, Watch);
 }
 
--- a/standins/test/backends/RunLogTest.cpp
+++ b/standins/test/backends/RunLogTest.cpp
@@ -18,21 +18,26 @@
           .Event = Event};
 }
 
+nlohmann::json after(const RunLog &Log, std::uint64_t Seq, std::size_t Limit) {
+  return nlohmann::json::parse(Log.entriesAfter(Seq, Limit));
+}
+
 } // namespace
 
 TEST_CASE("the log goes on after any sequence number and forgets the oldest") {
   RunLog Log(3);
   for (int I = 0; I < 5; ++I)
     Log.add(entry(RunEvent::Received, ""));
-  nlohmann::json All = Log.entriesAfter(0, 10);
+  nlohmann::json All = after(Log, 0, 10);
   CHECK(All["first"] == 3);
   CHECK(All["next"] == 5);
   CHECK(All["entries"].size() == 3);
-  nlohmann::json Some = Log.entriesAfter(3, 1);
+  nlohmann::json Some = after(Log, 3, 1);
   CHECK(Some["entries"][0]["seq"] == 4);
   CHECK(Some["next"] == 4);
-  CHECK(Log.entriesAfter(5, 10)["entries"].empty());
-  CHECK(Log.entriesAfter(5, 10)["next"] == 5);
+  CHECK(after(Log, 9, 10)["entries"].empty());
+  CHECK(after(Log, 5, 10)["entries"].empty());
+  CHECK(after(Log, 5, 10)["next"] == 5);
 }
 
 TEST_CASE("only what started counts as a run, for each shard") {
