http: pipelined requests survive a graceful close

A request pipelined behind the one in flight had begun to arrive when the close was asked for, yet its connection closed after the first answer. The close now waits until neither the buffer nor the socket holds a byte. Closing at the first answer, as RFC 9112 allows, was ruled out: the caller would not learn whether its second request ran.

--- a/packages/ctl/src/ctl/Rendering.cpp
+++ b/packages/ctl/src/ctl/Rendering.cpp
@@ -41,6 +41,7 @@
   Table Printed(Columns);
   for (const Json &Row : Rows) {
     std::vector<std::string> Cells;
+    Cells.reserve(Columns.size());
     for (const std::string &Column : Columns)
       Cells.push_back(Row.contains(Column) ? renderCell(Row[Column]) : "-");
     Printed.add(std::move(Cells));
--- a/packages/http/src/http/BeastMessage.cpp
+++ b/packages/http/src/http/BeastMessage.cpp
@@ -35,6 +35,10 @@
          std::string_view::npos;
 }
 
+bool isWellFormed(const Header &Field) {
+  return isToken(Field.Name) && isFieldValue(Field.Value);
+}
+
 } // namespace
 
 std::optional<Request> fromBeast(BeastRequest Incoming) {
@@ -82,7 +86,8 @@
   Message.version(HttpVersion);
   Message.result(Outgoing.Status);
   for (const Header &Field : Outgoing.Headers)
-    Message.set(Field.Name, Field.Value);
+    if (isWellFormed(Field))
+      Message.insert(Field.Name, Field.Value);
   Message.set(beast_http::field::content_type, Outgoing.ContentType);
   Message.keep_alive(KeepAlive);
   Message.body() = std::move(Outgoing.Body);
@@ -93,9 +98,7 @@
 bool isWellFormed(const Request &Outgoing) {
   bool HeadersFit =
       std::all_of(Outgoing.Headers.begin(), Outgoing.Headers.end(),
-                  [](const Header &Field) {
-                    return isToken(Field.Name) && isFieldValue(Field.Value);
-                  });
+                  [](const Header &Field) { return isWellFormed(Field); });
   return HeadersFit && isToken(Outgoing.Method) &&
          Outgoing.Path.starts_with('/') && isTargetPart(Outgoing.Path) &&
          isTargetPart(Outgoing.Query);
--- a/packages/http/src/http/BeastMessage.h
+++ b/packages/http/src/http/BeastMessage.h
@@ -21,6 +21,8 @@
 
 /// @brief Prepares @p Outgoing, with its length, for the server @p Host.
 [[nodiscard]] BeastRequest toBeast(Request Outgoing, const std::string &Host);
+/// @brief Prepares @p Outgoing; a header that could be taken for more than one
+/// is left out.
 [[nodiscard]] BeastResponse toBeast(Response Outgoing, bool KeepAlive);
 
 /// @return Whether no part of @p Outgoing could be taken for another part.
--- a/packages/http/src/http/ClientStream.cpp
+++ b/packages/http/src/http/ClientStream.cpp
@@ -96,8 +96,7 @@
 bool ClientStream::isOpen() const {
   if (!m_Stream || !m_Stream->socket().is_open())
     return false;
-  auto &Socket = const_cast<boost::beast::tcp_stream &>(*m_Stream).socket();
-  return m_Busy || isQuiet(Socket.native_handle());
+  return m_Busy || isQuiet(m_Stream->socket().native_handle());
 }
 
 Error ClientStream::describe(const error_code &Cause) const {
--- a/packages/http/src/http/ClientStream.h
+++ b/packages/http/src/http/ClientStream.h
@@ -41,7 +41,8 @@
   boost::asio::any_io_executor m_Executor;
   std::string m_Address;
   ConnectionOptions m_Options;
-  std::optional<boost::beast::tcp_stream> m_Stream;
+  /// Mutable because Asio has no const access to the native handle.
+  mutable std::optional<boost::beast::tcp_stream> m_Stream;
   boost::beast::flat_buffer m_Buffer;
   bool m_Busy = false;
 };
--- a/packages/http/src/http/Connection.h
+++ b/packages/http/src/http/Connection.h
@@ -30,7 +30,8 @@
 /// - InvalidInput: it can't be written as HTTP; nothing was touched.
 ///
 /// After each error but InvalidInput the connection is closed, so that a late
-/// answer can't be taken for the next request's.
+/// answer can't be taken for the next request's. To cancel a call, close() the
+/// connection.
 class Connection {
 public:
   /// @param Address "ip:port" of the server.
--- a/packages/http/src/http/Listener.h
+++ b/packages/http/src/http/Listener.h
@@ -60,14 +60,15 @@
   /// answers carry "Connection: close".
   ///
   /// A request of which one byte has arrived, even if still unread in the
-  /// socket, is served. The socket is only watched while idle, never read, so
-  /// there is no moment in which bytes have left the socket and are not seen
-  /// here. A request that crosses the close on the wire is answered by an
-  /// unsolicited 408 with outcome "not_run", which is written before the
-  /// close.
+  /// socket or pipelined behind another, is served. The socket is only watched
+  /// while idle, never read, so there is no moment in which bytes have left the
+  /// socket and are not seen here. A request that crosses the close on the wire
+  /// is answered by an unsolicited 408 with outcome "not_run", which is written
+  /// before the close.
   void closeIdle();
 
-  /// @brief While draining, each answer carries "Connection: close".
+  /// @brief While draining, each answer carries "Connection: close", unless
+  /// the next request has begun to arrive.
   void setDraining(bool Draining);
 
 private:
--- a/packages/http/src/http/Session.cpp
+++ b/packages/http/src/http/Session.cpp
@@ -80,7 +80,8 @@
 }
 
 bool Session::mustClose() const {
-  return m_CloseWhenIdle || m_Table->isDraining();
+  bool Asked = m_CloseWhenIdle || m_Table->isDraining();
+  return Asked && m_Buffer.size() == 0 && !hasUnreadBytes();
 }
 
 void Session::waitAtMost(Milliseconds Timeout) {
--- a/packages/http/src/http/Session.h
+++ b/packages/http/src/http/Session.h
@@ -42,6 +42,7 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   [[nodiscard]] bool hasUnreadBytes() const;
+  /// @return Whether to close, and no further request has begun to arrive.
   [[nodiscard]] bool mustClose() const;
 
   void waitAtMost(Milliseconds Timeout);
--- a/packages/http/test/http/ConnectionTest.cpp
+++ b/packages/http/test/http/ConnectionTest.cpp
@@ -178,6 +178,25 @@
   CHECK(Done);
 }
 
+TEST_CASE("a loop may be destroyed while a call waits") {
+  auto Io = std::make_unique<Loop>();
+  RawServer Silent(Io->context());
+  auto Server = Listener::open(
+      Io->context(), {}, [&](Request Asked) -> awaitable<Response> {
+        Client Next(Io->context().get_executor(),
+                    {.Address = Silent.address()});
+        auto Answer = co_await Next.send(std::move(Asked), soon());
+        co_return Response();
+      });
+  REQUIRE(Server);
+  RawClient Wire(Io->context(), Server.value()->address());
+  Wire.send("GET / HTTP/1.1\r\n\r\n");
+  while (Server.value()->stats().Requests == 0)
+    Io->context().run_one();
+  Io->context().poll();
+  CHECK(Server.value()->stats().InFlight == 1);
+}
+
 TEST_CASE("a client takes a new connection when its kept one was closed") {
   Fixture F;
   Client Pool(F.Io.context().get_executor(), {.Address = F.Server.address()});
--- a/packages/http/test/http/GracefulStopTest.cpp
+++ b/packages/http/test/http/GracefulStopTest.cpp
@@ -86,6 +86,18 @@
   CHECK(isServed(F.readAll(Wire)));
 }
 
+TEST_CASE("requests pipelined before the close are all served") {
+  Fixture F;
+  RawClient Wire(F.Io.context(), F.Server->address());
+  Wire.send(Question);
+  Wire.send(Question);
+  F.runUntil([&] { return F.Server->stats().Requests == 1; });
+  F.Server->closeIdle();
+  F.openGate();
+  CHECK(isServed(F.readAll(Wire)));
+  CHECK(F.Server->stats().Requests == 2);
+}
+
 TEST_CASE("a connection that was established but not accepted is served") {
   Fixture F;
   F.openGate();
