Daemon drives the proved control node

Cause: the daemon wired membership, freshness and drains by itself, so that the proofs covered another wiring than the one that runs. Now both drive coordination/node/ControlNode.

--- a/packages/daemon/src/daemon/control/ControlNode.cpp
+++ b/packages/daemon/src/daemon/control/ControlNode.cpp
@@ -28,17 +28,15 @@
                          ControlHandlers Handlers)
     : m_Io(Io), m_Config(Config), m_Views(Views), m_Collected(Collected),
       m_Handlers(std::move(Handlers)),
-      m_State{.Vms = Membership({.Self = Self, .TickPeriod = TickPeriod}),
-              .Configs = ConfigBook(),
+      m_State{.Core = ::carawaypond::ControlNode(
+                  {.Members = {.Self = Self, .TickPeriod = TickPeriod},
+                   .Feed = {.Seed = Self.Life.value()},
+                   .Stop = {.AddressLifetime = Config.AddressLifetime}}),
               .Indexes = {},
               .Versions = {},
-              .Fresh = Freshness({}),
-              .Gate = {},
-              .Drains = ServerDrains({.Self = Self.Name, .Life = Self.Life}),
-              .Drain = VmDrain({.AddressLifetime = Config.AddressLifetime}),
               .OnChange = [this] { publish(); },
               .OnVersions = m_Handlers.OnVersions},
-      m_Reader(Io, Config.Platform, m_State, Self.Life.value()),
+      m_Reader(Io, Config.Platform, m_State, Self.Life.value() + 1),
       m_Submissions(Io, m_State, m_Reader.objects()), m_Exchange(Io, m_State),
       m_Asker(Io, m_State),
       m_Api(m_State, m_Submissions, Collected,
@@ -53,73 +51,60 @@
   m_Asker.attach(Node);
 }
 
-void ControlNode::start() {
-  for (const std::string &Seed : m_Config.Seeds)
-    m_Exchange.exchange(Seed, true);
-  asio::co_spawn(m_Io, run(), asio::detached);
-}
+void ControlNode::start() { asio::co_spawn(m_Io, run(), asio::detached); }
 
 asio::awaitable<void> ControlNode::run() {
   asio::steady_timer Timer(m_Io);
   while (true) {
     tick(monotonicNow());
-    bool IsStopping = m_State.Drain.phase() == VmPhase::Closing;
+    bool IsStopping = m_State.Core.stop().phase() == VmPhase::Closing;
     Timer.expires_after(IsStopping ? StoppingTickPeriod : TickPeriod);
     co_await Timer.async_wait(asio::use_awaitable);
   }
 }
 
 void ControlNode::tick(TimePoint Now) {
-  m_State.Fresh.tick(m_State.Vms.majorityAsOf(Now), Now);
-  m_State.Vms.setInformed(m_State.Fresh.isInformed());
-  exchangeDigests(Now);
-  m_State.Gate.onHeard(m_State.Vms.directAsOf(Now));
-  m_State.Drains.tick(Now);
-  m_Reader.tick(Now);
-  if (m_State.Fresh.mayServe(Now))
-    m_State.Drain.onReady();
-  tickDrain(Now);
+  std::size_t InFlight = m_Handlers.Busy() + m_Submissions.inFlight();
+  ControlTick Wanted = m_State.Core.tick(InFlight, Now);
+  for (const Contact &To : Wanted.Exchanges)
+    m_Exchange.exchange(To.PeerAddress, To.Full);
+  askSeeds();
+  m_Reader.tick(Wanted.ServiceReads, Now);
+  for (VmDrainAction Action : Wanted.Stop)
+    m_Handlers.OnDrainStep(Action);
+  stopIfSuperseded();
   publish();
   count();
 }
 
-void ControlNode::exchangeDigests(TimePoint Now) {
-  for (const Contact &To : m_State.Vms.tick(Now))
-    m_Exchange.exchange(To.PeerAddress, To.Full);
-  if (!m_State.Vms.isAlone())
+void ControlNode::askSeeds() {
+  if (!m_State.Core.members().isAlone())
     return;
   for (const std::string &Seed : m_Config.Seeds)
     m_Exchange.exchange(Seed, true);
 }
 
-void ControlNode::tickDrain(TimePoint Now) {
-  if (m_State.Vms.isSuperseded() && m_State.Drain.phase() == VmPhase::Serving) {
-    LOG4CXX_WARN(logger(), "a later incarnation of this VM was heard");
-    beginStop();
-  }
-  std::size_t InFlight = m_Handlers.Busy() + m_Submissions.inFlight();
-  for (VmDrainAction Action : m_State.Drain.tick(InFlight, Now))
-    m_Handlers.OnDrainStep(Action);
+void ControlNode::stopIfSuperseded() {
+  bool IsServing = m_State.Core.stop().phase() == VmPhase::Serving;
+  if (!IsServing || !m_State.Core.members().isSuperseded())
+    return;
+  LOG4CXX_WARN(logger(), "a later incarnation of this VM was heard");
+  beginStop();
 }
 
 Milliseconds ControlNode::beginStop() {
   VmDrainOptions Times{.AddressLifetime = m_Config.AddressLifetime};
-  TimePoint Now = monotonicNow();
-  for (VmDrainAction Action : m_State.Drain.begin(Now)) {
-    LOG4CXX_INFO(logger(), "graceful stop begins");
-    if (Action == VmDrainAction::Announce)
-      m_State.Vms.leave();
-    m_Handlers.OnDrainStep(Action);
-  }
+  LOG4CXX_INFO(logger(), "graceful stop asked for");
+  m_State.Core.beginStop(monotonicNow());
   publish();
   return Times.SpreadTime + Times.AddressLifetime;
 }
 
 void ControlNode::onDrainSign(const ServerName &Server, bool Leaving) {
   TimePoint Now = monotonicNow();
-  bool Before = m_State.Drains.isDraining(Server, Now);
-  m_State.Drains.observe(Server, Leaving, Now);
-  if (m_State.Drains.isDraining(Server, Now) != Before)
+  bool Before = m_State.Core.drains().isDraining(Server, Now);
+  m_State.Core.onServerSign(Server, Leaving, Now);
+  if (m_State.Core.drains().isDraining(Server, Now) != Before)
     publish();
 }
 
@@ -128,9 +113,9 @@
 }
 
 void ControlNode::publish() {
-  if (std::optional<TimePoint> Until = m_State.Fresh.serveUntil())
+  if (std::optional<TimePoint> Until = m_State.Core.recency().serveUntil())
     m_Views.allowServingUntil(*Until);
-  if (std::optional<TimePoint> Until = m_State.Gate.sendUntil())
+  if (std::optional<TimePoint> Until = m_State.Core.sendGate().sendUntil())
     m_Views.allowSendingUntil(*Until);
   if (m_PublishPending)
     return;
@@ -138,6 +123,7 @@
   m_PublishPending = true;
   asio::post(m_Io, [this] {
     m_PublishPending = false;
+    m_State.logNewConfigs();
     ++m_Generation;
     m_Views.publish(std::make_shared<const ControlView>(makeView()));
     m_Handlers.OnView();
@@ -146,13 +132,13 @@
 
 ControlView ControlNode::makeView() const {
   ControlView View{.Generation = m_Generation,
-                   .Self = m_State.Vms.self(),
-                   .Others = m_State.Vms.others(),
-                   .GivesTickets = m_State.Drain.givesTickets()};
-  for (const ConfigBook::Entry &Stored : m_State.Configs.services())
+                   .Self = m_State.Core.members().self(),
+                   .Others = m_State.Core.members().others(),
+                   .GivesTickets = m_State.Core.stop().givesTickets()};
+  for (const ConfigBook::Entry &Stored : m_State.Core.configs().services())
     View.Services[Stored->Content.Name] = {
         .Stored = Stored, .Index = m_State.Indexes.find(Stored->Content.Index)};
-  std::vector<VmName> Owning = m_State.Vms.liveVms();
+  std::vector<VmName> Owning = m_State.Core.members().liveVms();
   std::vector<VmRecord> All = View.Others;
   All.push_back(View.Self);
   for (const VmRecord &Vm : All) {
@@ -165,7 +151,8 @@
                         .PeerAddress = Vm.PeerAddress,
                         .MayOwn = MayOwn});
   }
-  for (const ServerName &Server : m_State.Drains.draining(monotonicNow()))
+  for (const ServerName &Server :
+       m_State.Core.drains().draining(monotonicNow()))
     View.LeavingServers.insert(Server);
   return View;
 }
@@ -178,8 +165,8 @@
   m_Collected.set("store_puts_total", Calls.Puts);
   m_Collected.set("store_calls_failed_total", Calls.Failed);
   m_Collected.set("vm_lists_total", m_Reader.vmListCalls().VmLists);
-  m_Collected.set("vm_suspicions_total", m_State.Vms.suspicions());
-  m_Collected.set("vms_live", m_State.Vms.liveVms().size());
+  m_Collected.set("vm_suspicions_total", m_State.Core.members().suspicions());
+  m_Collected.set("vms_live", m_State.Core.members().liveVms().size());
 }
 
 } // namespace carawaypond::daemon
--- a/packages/daemon/src/daemon/control/ControlNode.h
+++ b/packages/daemon/src/daemon/control/ControlNode.h
@@ -57,8 +57,8 @@
 private:
   boost::asio::awaitable<void> run();
   void tick(TimePoint Now);
-  void exchangeDigests(TimePoint Now);
-  void tickDrain(TimePoint Now);
+  void askSeeds();
+  void stopIfSuperseded();
   void publish();
   [[nodiscard]] ControlView makeView() const;
   void count();
--- a/packages/daemon/src/daemon/control/ControlState.cpp
+++ b/packages/daemon/src/daemon/control/ControlState.cpp
@@ -4,14 +4,15 @@
 
 namespace carawaypond::daemon {
 
-void ControlState::takeConfig(StoredService New) {
-  ServiceName Service = New.Content.Name;
-  ConfigVersion Version = New.Version;
-  if (Configs.take(std::move(New)) != Taken::Newer)
-    return;
-  LOG4CXX_INFO(logger(), "configuration in force service="
-                             << Service << " version=" << Version);
-  OnChange();
+void ControlState::logNewConfigs() {
+  for (const ConfigHeld &Held : Core.configs().versions()) {
+    ConfigVersion &Last = Logged[Held.Service];
+    if (Last == Held.Version)
+      continue;
+    Last = Held.Version;
+    LOG4CXX_INFO(logger(), "configuration in force service="
+                               << Held.Service << " version=" << Held.Version);
+  }
 }
 
 void ControlState::takeIndex(IndexObject New, TimePoint Now) {
@@ -19,7 +20,7 @@
   if (!Indexes.take(std::move(New)))
     return;
   for (const ServerInfo &Server : Copy.Servers)
-    Drains.observe(Server.Name, Server.Leaving, Now);
+    Core.onServerSign(Server.Name, Server.Leaving, Now);
   OnChange();
 }
 
@@ -31,11 +32,7 @@
 }
 
 Digest ControlState::makeDigest(bool Full, TimePoint Now) {
-  Digest Made;
-  Vms.fill(Made, Full, Now);
-  Configs.fill(Made, Full);
-  Fresh.fill(Made, Now);
-  Drains.fill(Made, Full, Now);
+  Digest Made = Core.makeDigest(Full, Now);
   Indexes.fill(Made);
   Versions.fill(Made, Now);
   return Made;
--- a/packages/daemon/src/daemon/control/ForceAsker.cpp
+++ b/packages/daemon/src/daemon/control/ForceAsker.cpp
@@ -28,21 +28,21 @@
 
 asio::awaitable<ForceCheck> ForceAsker::ask(ServiceName Service,
                                             ConfigVersion Version) {
-  VmName Self = m_State.Vms.self().Name;
-  std::vector<VmName> Live = m_State.Vms.liveVms();
+  VmName Self = m_State.Core.members().self().Name;
+  std::vector<VmName> Live = m_State.Core.members().liveVms();
   auto Question = std::make_shared<Asked>(
       Asked{.Check = ForceCheck(Service, Version, Live),
             .Done = asio::steady_timer(m_Io, TimePoint::max())});
-  Question->Check.onOwn(Self, m_State.Configs);
+  Question->Check.onOwn(Self, m_State.Core.configs());
   for (const VmName &Name : Live) {
-    std::optional<VmRecord> Vm = m_State.Vms.find(Name);
+    std::optional<VmRecord> Vm = m_State.Core.members().find(Name);
     if (Name == Self || !Vm)
       continue;
     ++Question->Outstanding;
     auto OnReply = [this, Question](Result<Digest> Heard) {
       asio::post(m_Io, [this, Question, Got = std::move(Heard)] {
         if (Got)
-          Question->Check.onDigest(Got.value(), m_State.Configs);
+          Question->Check.onDigest(Got.value(), m_State.Core.configs());
         if (--Question->Outstanding == 0)
           Question->Done.cancel();
       });
--- a/packages/daemon/src/daemon/control/OperatorApi.cpp
+++ b/packages/daemon/src/daemon/control/OperatorApi.cpp
@@ -174,7 +174,7 @@
 }
 
 http::Response OperatorApi::service(const std::string &Name) const {
-  ConfigBook::Entry Stored = m_State.Configs.find(ServiceName(Name));
+  ConfigBook::Entry Stored = m_State.Core.configs().find(ServiceName(Name));
   if (!Stored || Stored->Deleted)
     return notFound("service \"" + Name + "\" does not exist");
   return json(200, toJsonRow(*Stored));
@@ -182,7 +182,7 @@
 
 http::Response OperatorApi::services() const {
   nlohmann::json Rows = nlohmann::json::array();
-  for (const ConfigBook::Entry &Stored : m_State.Configs.services())
+  for (const ConfigBook::Entry &Stored : m_State.Core.configs().services())
     Rows.push_back(toJsonRow(*Stored));
   return json(200, {{"services", std::move(Rows)}});
 }
@@ -243,9 +243,7 @@
 OperatorApi::Answer OperatorApi::submit(Submission Wanted,
                                         unsigned AcceptedStatus) {
   TimePoint Now = monotonicNow();
-  bool May = m_State.Fresh.maySubmit(m_State.Vms.majorityAsOf(Now),
-                                     m_State.Vms.isAlone(), Now);
-  if (!May)
+  if (!m_State.Core.maySubmit(Now))
     co_return refusal(503, "not_run", "not_current",
                       "this VM hears too few others to take a change; ask "
                       "another one");
--- a/packages/daemon/src/daemon/control/OperatorViews.cpp
+++ b/packages/daemon/src/daemon/control/OperatorViews.cpp
@@ -48,26 +48,27 @@
 } // namespace
 
 nlohmann::json OperatorViews::live() const {
-  return {{"state", wordOf(m_State.Drain.phase())},
-          {"vm", m_State.Vms.self().Name.value()},
-          {"incarnation", m_State.Vms.self().Life.value()}};
+  return {{"state", wordOf(m_State.Core.stop().phase())},
+          {"vm", m_State.Core.members().self().Name.value()},
+          {"incarnation", m_State.Core.members().self().Life.value()}};
 }
 
 nlohmann::json OperatorViews::vms() const {
-  nlohmann::json Rows = nlohmann::json::array({toJson(m_State.Vms.self())});
-  for (const VmRecord &Vm : m_State.Vms.others())
+  nlohmann::json Rows =
+      nlohmann::json::array({toJson(m_State.Core.members().self())});
+  for (const VmRecord &Vm : m_State.Core.members().others())
     Rows.push_back(toJson(Vm));
   return {{"vms", std::move(Rows)}};
 }
 
 nlohmann::json OperatorViews::ownership(const std::string &Service) const {
-  ConfigBook::Entry Stored = m_State.Configs.find(ServiceName(Service));
+  ConfigBook::Entry Stored = m_State.Core.configs().find(ServiceName(Service));
   if (!Stored)
     return nullptr;
   IndexBook::Entry Index = m_State.Indexes.find(Stored->Content.Index);
   if (!Index)
     return nullptr;
-  std::vector<VmName> Live = m_State.Vms.liveVms();
+  std::vector<VmName> Live = m_State.Core.members().liveVms();
   nlohmann::json Rows = nlohmann::json::array();
   for (const IndexLayout &Layout : Index->Layouts) {
     for (const ShardReplicas &Shard : Layout.Shards) {
@@ -91,29 +92,31 @@
 nlohmann::json OperatorViews::backends(const std::string &Service) const {
   nlohmann::json Rows = nlohmann::json::array();
   TimePoint Now = monotonicNow();
-  for (const ConfigBook::Entry &Stored : m_State.Configs.services()) {
+  for (const ConfigBook::Entry &Stored : m_State.Core.configs().services()) {
     const std::string &Name = Stored->Content.Name.value();
     IndexBook::Entry Index = m_State.Indexes.find(Stored->Content.Index);
     if (!Index || (!Service.empty() && Service != Name))
       continue;
     for (const ServerInfo &Server : Index->Servers)
-      Rows.push_back({{"service", Name},
-                      {"name", Server.Name.value()},
-                      {"address", Server.Address},
-                      {"data_centre", Server.Centre.value()},
-                      {"slots", Server.Slots},
-                      {"connections", Server.Connections},
-                      {"state", m_State.Drains.isDraining(Server.Name, Now) ||
-                                        Server.Leaving
-                                    ? "leaving"
-                                    : "serving"}});
+      Rows.push_back(
+          {{"service", Name},
+           {"name", Server.Name.value()},
+           {"address", Server.Address},
+           {"data_centre", Server.Centre.value()},
+           {"slots", Server.Slots},
+           {"connections", Server.Connections},
+           {"state",
+            m_State.Core.drains().isDraining(Server.Name, Now) || Server.Leaving
+                ? "leaving"
+                : "serving"}});
   }
   return {{"backends", std::move(Rows)}};
 }
 
 nlohmann::json OperatorViews::drains() const {
   nlohmann::json Rows = nlohmann::json::array();
-  for (const ServerName &Server : m_State.Drains.draining(monotonicNow()))
+  for (const ServerName &Server :
+       m_State.Core.drains().draining(monotonicNow()))
     Rows.push_back({{"server", Server.value()}, {"leaving", true}});
   return {{"drains", std::move(Rows)}};
 }
--- a/packages/daemon/src/daemon/control/PeerExchange.cpp
+++ b/packages/daemon/src/daemon/control/PeerExchange.cpp
@@ -45,51 +45,43 @@
 void PeerExchange::serve(const Digest &Heard,
                          const peer::Reply<Digest> &Answer) {
   TimePoint Now = monotonicNow();
-  m_State.Vms.onRequest(Heard, Now);
-  takeCommon(Heard, Now);
+  const std::string &Address = Heard.Sender.PeerAddress;
+  std::optional<ConfigFetch> Wanted = m_State.Core.onRequest(Heard, Now);
   Answer(m_State.makeDigest(true, Now));
-  fetchIndexes(Heard.Sender.PeerAddress, Heard);
-}
-
-void PeerExchange::takeCommon(const Digest &Heard, TimePoint Now) {
-  std::vector<ServerName> Before = m_State.Drains.draining(Now);
-  m_State.Drains.take(Heard.Drains, Now);
-  if (m_State.Drains.draining(Now) != Before)
-    m_State.OnChange();
-  m_State.takeVersions(Heard.Versions, Now);
+  takeCommon(Heard, Now);
+  if (Wanted)
+    fetchServices(Address, std::move(*Wanted));
+  fetchIndexes(Address, Heard);
 }
 
 void PeerExchange::onReply(const std::string &Address, const Digest &Heard,
                            TimePoint SentAt) {
   TimePoint Now = monotonicNow();
-  m_State.Vms.onReply(Heard, SentAt, Now);
+  std::optional<ConfigFetch> Wanted = m_State.Core.onReply(Heard, SentAt, Now);
   takeCommon(Heard, Now);
-  m_State.Gate.onHeard(m_State.Vms.directAsOf(Now));
-  bool Covers = m_State.Configs.covers(Heard);
-  m_State.Fresh.onReply(Heard, Covers, SentAt, Now);
-  m_State.OnChange();
-  if (!Covers)
-    fetchServices(Address, Heard, SentAt);
+  if (Wanted)
+    fetchServices(Address, std::move(*Wanted));
   fetchIndexes(Address, Heard);
 }
 
+void PeerExchange::takeCommon(const Digest &Heard, TimePoint Now) {
+  m_State.takeVersions(Heard.Versions, Now);
+  m_State.OnChange();
+}
+
 void PeerExchange::fetchServices(const std::string &Address,
-                                 const Digest &Heard, TimePoint SentAt) {
+                                 ConfigFetch Wanted) {
+  const ConfigBook &Held = m_State.Core.configs();
   std::vector<std::string> Names;
-  if (!m_State.Configs.needsWholeList(Heard))
-    for (const ServiceName &Name : m_State.Configs.lacking(Heard))
+  if (!Held.needsWholeList(Wanted.Heard))
+    for (const ServiceName &Name : Held.lacking(Wanted.Heard))
       Names.push_back(Name.value());
-  if (Names.empty() && !m_State.Configs.needsWholeList(Heard))
-    return;
   using Objects = std::vector<peer::StoredObject>;
-  auto OnReply = [this, Heard, SentAt](Result<Objects> Got) {
+  auto OnReply = [this, Wanted = std::move(Wanted)](Result<Objects> Got) {
     if (!Got)
       return;
-    asio::post(m_Io, [this, Heard, SentAt, Found = std::move(Got.value())] {
-      takeServices(Found);
-      m_State.Fresh.onReply(Heard, m_State.Configs.covers(Heard), SentAt,
-                            monotonicNow());
-      m_State.OnChange();
+    asio::post(m_Io, [this, Wanted, Found = std::move(Got.value())] {
+      takeServices(Wanted, Found);
     });
   };
   m_Node->fetchServices(Address, std::move(Names), OnReply, FetchTimeout);
@@ -111,17 +103,23 @@
 }
 
 void PeerExchange::takeServices(
-    const std::vector<peer::StoredObject> &Objects) {
+    const ConfigFetch &Asked, const std::vector<peer::StoredObject> &Objects) {
+  std::vector<StoredService> Newer;
   for (const peer::StoredObject &Object : Objects) {
     nlohmann::json Value = nlohmann::json::parse(Object.Json, nullptr, false);
     Result<StoredService> Stored = parseStoredService(Value);
     if (Stored)
-      m_State.takeConfig(std::move(Stored.value()));
+      Newer.push_back(std::move(Stored.value()));
     else
       LOG4CXX_WARN(logger(), "a VM sent an unusable service name="
                                  << Object.Name << " cause=\""
                                  << Stored.error().Message << "\"");
   }
+  // The answer does not say which incarnation gave it, so that it counts only
+  // where it covers what was heard.
+  m_State.Core.onFetched(Asked, Incarnation(), std::move(Newer),
+                         monotonicNow());
+  m_State.OnChange();
 }
 
 void PeerExchange::takeIndexes(const std::vector<peer::StoredObject> &Objects) {
@@ -141,12 +139,12 @@
 PeerExchange::services(const std::vector<std::string> &Names) const {
   std::vector<peer::StoredObject> Found;
   for (const std::string &Name : Names)
-    if (ConfigBook::Entry Held = m_State.Configs.find(ServiceName(Name)))
+    if (ConfigBook::Entry Held = m_State.Core.configs().find(ServiceName(Name)))
       Found.push_back(pack(*Held));
   if (!Names.empty())
     return Found;
-  for (const ConfigHeld &Held : m_State.Configs.versions())
-    Found.push_back(pack(*m_State.Configs.find(Held.Service)));
+  for (const ConfigHeld &Held : m_State.Core.configs().versions())
+    Found.push_back(pack(*m_State.Core.configs().find(Held.Service)));
   return Found;
 }
 
--- a/packages/daemon/src/daemon/control/PeerExchange.h
+++ b/packages/daemon/src/daemon/control/PeerExchange.h
@@ -42,10 +42,10 @@
   void onReply(const std::string &Address, const Digest &Heard,
                TimePoint SentAt);
   void takeCommon(const Digest &Heard, TimePoint Now);
-  void fetchServices(const std::string &Address, const Digest &Heard,
-                     TimePoint SentAt);
+  void fetchServices(const std::string &Address, ConfigFetch Wanted);
   void fetchIndexes(const std::string &Address, const Digest &Heard);
-  void takeServices(const std::vector<peer::StoredObject> &Objects);
+  void takeServices(const ConfigFetch &Asked,
+                    const std::vector<peer::StoredObject> &Objects);
   void takeIndexes(const std::vector<peer::StoredObject> &Objects);
 
   boost::asio::io_context &m_Io;
--- a/packages/daemon/src/daemon/control/StoreReader.cpp
+++ b/packages/daemon/src/daemon/control/StoreReader.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr const char *ServiceKind = "service";
+constexpr const char *IndexKind = "index";
 constexpr Milliseconds ListDeadline{2000};
 constexpr Milliseconds WatchGrace{2000};
 constexpr Milliseconds VmListDeadline{2000};
@@ -24,84 +26,135 @@
 
 } // namespace
 
-/// @brief Starts one read that a feed decided on.
-struct StoreReader::ActionVisitor {
+/// @brief Starts one read of services.
+struct StoreReader::ServiceVisitor {
   StoreReader &Reader;
-  Kind &Which;
 
   void operator()(const ListObjects &) const {
-    asio::co_spawn(Reader.m_Io, Reader.list(Which), asio::detached);
+    asio::co_spawn(Reader.m_Io, Reader.listServices(), asio::detached);
   }
   void operator()(const WatchObjects &Asked) const {
-    asio::co_spawn(Reader.m_Io, Reader.watch(Which, Asked), asio::detached);
+    asio::co_spawn(Reader.m_Io, Reader.watchServices(Asked), asio::detached);
+  }
+};
+
+/// @brief Starts one read of indexes.
+struct StoreReader::IndexVisitor {
+  StoreReader &Reader;
+
+  void operator()(const ListObjects &) const {
+    asio::co_spawn(Reader.m_Io, Reader.listIndexes(), asio::detached);
+  }
+  void operator()(const WatchObjects &Asked) const {
+    asio::co_spawn(Reader.m_Io, Reader.watchIndexes(Asked), asio::detached);
   }
 };
 
 StoreReader::StoreReader(asio::io_context &Io, const std::string &Platform,
                          ControlState &State, std::uint64_t Seed)
     : m_Io(Io), m_State(State), m_Objects(Io.get_executor(), Platform),
-      m_VmList(Io.get_executor(), Platform), m_Services{.Name = "service",
-                                                        .Feed = StoreFeed(
-                                                            {.Seed = Seed}),
-                                                        .IsService = true},
-      m_Indexes{
-          .Name = "index",
-          .Feed = StoreFeed({.ListPeriod = IndexListPeriod, .Seed = Seed + 1}),
-          .IsService = false} {}
+      m_VmList(Io.get_executor(), Platform),
+      m_IndexFeed({.ListPeriod = IndexListPeriod, .Seed = Seed}) {}
 
 bool StoreReader::isWatcher() const {
-  std::vector<VmRecord> All = m_State.Vms.others();
-  All.push_back(m_State.Vms.self());
-  return chooseWatchers({}, All).contains(m_State.Vms.self().Name);
+  const Membership &Members = m_State.Core.members();
+  std::vector<VmRecord> All = Members.others();
+  All.push_back(Members.self());
+  return chooseWatchers({}, All).contains(Members.self().Name);
 }
 
-void StoreReader::tick(TimePoint Now) {
+void StoreReader::tick(const std::vector<StoreFeedAction> &ServiceReads,
+                       TimePoint Now) {
+  for (const StoreFeedAction &Action : ServiceReads)
+    std::visit(ServiceVisitor{*this}, Action);
   bool IsWatcher = isWatcher();
-  std::size_t Live = m_State.Vms.liveVms().size();
-  std::optional<TimePoint> Upstream = m_State.Fresh.storeAsOf();
-  start(m_Services, m_Services.Feed.tick(IsWatcher, Live, Upstream, Now));
-  start(m_Indexes, m_Indexes.Feed.tick(IsWatcher, Live, Upstream, Now));
+  const Membership &Members = m_State.Core.members();
+  for (const StoreFeedAction &Action :
+       m_IndexFeed.tick(IsWatcher, Members.liveVms().size(),
+                        m_State.Core.recency().storeAsOf(), Now))
+    std::visit(IndexVisitor{*this}, Action);
   if (m_ReadingVmList || (m_NextVmList && Now < *m_NextVmList))
     return;
-  bool IsEager = IsWatcher || m_State.Vms.isAlone();
+  bool IsEager = IsWatcher || Members.isAlone();
   m_NextVmList = Now + (IsEager ? WatcherVmListPeriod : OtherVmListPeriod);
   m_ReadingVmList = true;
   asio::co_spawn(m_Io, readVmList(), asio::detached);
 }
 
-void StoreReader::start(Kind &Which,
-                        const std::vector<StoreFeedAction> &Actions) {
-  for (const StoreFeedAction &Action : Actions)
-    std::visit(ActionVisitor{*this, Which}, Action);
+namespace {
+
+/// @return The services that can be read; the others are logged.
+std::vector<StoredService>
+parseServices(const std::vector<platform::Object> &Objects) {
+  std::vector<StoredService> Services;
+  for (const platform::Object &Object : Objects) {
+    nlohmann::json Value = nlohmann::json::parse(Object.Value, nullptr, false);
+    Result<StoredService> Stored = parseStoredService(Value);
+    if (Stored)
+      Services.push_back(std::move(Stored.value()));
+    else
+      LOG4CXX_WARN(logger(), "the store holds an unusable service name="
+                                 << Object.Name << " cause=\""
+                                 << Stored.error().Message << "\"");
+  }
+  return Services;
 }
 
-asio::awaitable<void> StoreReader::list(Kind &Which) {
+} // namespace
+
+asio::awaitable<void> StoreReader::listServices() {
   TimePoint SentAt = monotonicNow();
   Result<platform::ObjectList> Listed =
-      co_await m_Objects.list(Which.Name, SentAt + ListDeadline);
+      co_await m_Objects.list(ServiceKind, SentAt + ListDeadline);
   TimePoint Now = monotonicNow();
   if (!Listed) {
-    Which.Feed.onList(std::nullopt, Now);
+    m_State.Core.onServiceListFailed(Now);
     co_return;
   }
-  take(Which, Listed.value().Objects);
-  Which.Feed.onList(Listed.value().Revision, Now);
-  if (Which.IsService)
-    m_State.Fresh.onStoreList(SentAt, Now);
+  m_State.Core.onServiceList(Listed.value().Revision,
+                             parseServices(Listed.value().Objects), SentAt,
+                             Now);
   m_State.OnChange();
 }
 
-asio::awaitable<void> StoreReader::watch(Kind &Which, WatchObjects Asked) {
-  TimePoint Deadline = monotonicNow() + Asked.Timeout + WatchGrace;
-  Result<platform::ObjectList> Changed = co_await m_Objects.watch(
-      Which.Name, Asked.After, Asked.Timeout, Deadline);
+asio::awaitable<void> StoreReader::watchServices(WatchObjects Asked) {
+  Result<platform::ObjectList> Changed = co_await watch(ServiceKind, Asked);
   TimePoint Now = monotonicNow();
   if (!Changed) {
-    Which.Feed.onWatch(std::nullopt, Now);
+    m_State.Core.onServiceWatchFailed(Now);
     co_return;
   }
-  take(Which, Changed.value().Objects);
-  Which.Feed.onWatch(Changed.value().Revision, Now);
+  m_State.Core.onServiceWatch(Changed.value().Revision,
+                              parseServices(Changed.value().Objects), Now);
+  m_State.OnChange();
+}
+
+asio::awaitable<void> StoreReader::listIndexes() {
+  Result<platform::ObjectList> Listed =
+      co_await m_Objects.list(IndexKind, monotonicNow() + ListDeadline);
+  if (Listed)
+    takeIndexes(Listed.value().Objects);
+  std::optional<std::uint64_t> Revision;
+  if (Listed)
+    Revision = Listed.value().Revision;
+  m_IndexFeed.onList(Revision, monotonicNow());
+}
+
+asio::awaitable<void> StoreReader::watchIndexes(WatchObjects Asked) {
+  Result<platform::ObjectList> Changed = co_await watch(IndexKind, Asked);
+  if (Changed)
+    takeIndexes(Changed.value().Objects);
+  std::optional<std::uint64_t> Revision;
+  if (Changed)
+    Revision = Changed.value().Revision;
+  m_IndexFeed.onWatch(Revision, monotonicNow());
+}
+
+asio::awaitable<Result<platform::ObjectList>>
+StoreReader::watch(std::string Kind, WatchObjects Asked) {
+  TimePoint Deadline = monotonicNow() + Asked.Timeout + WatchGrace;
+  co_return co_await m_Objects.watch(std::move(Kind), Asked.After,
+                                     Asked.Timeout, Deadline);
 }
 
 asio::awaitable<void> StoreReader::readVmList() {
@@ -115,31 +168,20 @@
                    .Centre = Vm.Centre,
                    .PeerAddress = Vm.Address,
                    .Leaving = Vm.Leaving});
-  m_State.Vms.onVmList(Vms, monotonicNow());
+  m_State.Core.onVmList(Vms, monotonicNow());
 }
 
-void StoreReader::take(const Kind &Which, const Found &Objects) {
-  for (const platform::Object &Object : Objects)
-    takeOne(Which, Object);
-}
-
-void StoreReader::takeOne(const Kind &Which, const platform::Object &Object) {
-  nlohmann::json Value = nlohmann::json::parse(Object.Value, nullptr, false);
-  std::string Cause;
-  if (Which.IsService) {
-    Result<StoredService> Stored = parseStoredService(Value);
-    if (Stored)
-      return m_State.takeConfig(std::move(Stored.value()));
-    Cause = Stored.error().Message;
-  } else {
+void StoreReader::takeIndexes(const Found &Objects) {
+  for (const platform::Object &Object : Objects) {
+    nlohmann::json Value = nlohmann::json::parse(Object.Value, nullptr, false);
     Result<IndexObject> Index = parseIndexObject(Value, Object.Version);
     if (Index)
-      return m_State.takeIndex(std::move(Index.value()), monotonicNow());
-    Cause = Index.error().Message;
+      m_State.takeIndex(std::move(Index.value()), monotonicNow());
+    else
+      LOG4CXX_WARN(logger(), "the store holds an unusable index name="
+                                 << Object.Name << " cause=\""
+                                 << Index.error().Message << "\"");
   }
-  LOG4CXX_WARN(logger(), "the store holds an unusable object kind="
-                             << Which.Name << " name=" << Object.Name
-                             << " cause=\"" << Cause << "\"");
 }
 
 } // namespace carawaypond::daemon
--- a/packages/daemon/src/daemon/control/StoreReader.h
+++ b/packages/daemon/src/daemon/control/StoreReader.h
@@ -31,32 +31,30 @@
   }
   [[nodiscard]] platform::ObjectClient &objects() { return m_Objects; }
 
-  /// @brief Starts the reads that are due.
-  void tick(TimePoint Now);
+  /// @brief Starts the reads of services that the decisions ask for, and those
+  /// of indexes and of the VM list that are due.
+  void tick(const std::vector<StoreFeedAction> &ServiceReads, TimePoint Now);
 
 private:
   using Found = std::vector<platform::Object>;
-  struct ActionVisitor;
-  struct Kind {
-    std::string Name;
-    StoreFeed Feed;
-    bool IsService;
-  };
-
-  void start(Kind &Which, const std::vector<StoreFeedAction> &Actions);
-  boost::asio::awaitable<void> list(Kind &Which);
-  boost::asio::awaitable<void> watch(Kind &Which, WatchObjects Asked);
+  struct ServiceVisitor;
+  struct IndexVisitor;
+
+  boost::asio::awaitable<void> listServices();
+  boost::asio::awaitable<void> watchServices(WatchObjects Asked);
+  boost::asio::awaitable<void> listIndexes();
+  boost::asio::awaitable<void> watchIndexes(WatchObjects Asked);
+  boost::asio::awaitable<Result<platform::ObjectList>>
+  watch(std::string Kind, WatchObjects Asked);
   boost::asio::awaitable<void> readVmList();
-  void take(const Kind &Which, const Found &Objects);
-  void takeOne(const Kind &Which, const platform::Object &Object);
+  void takeIndexes(const Found &Objects);
   [[nodiscard]] bool isWatcher() const;
 
   boost::asio::io_context &m_Io;
   ControlState &m_State;
   platform::ObjectClient m_Objects;
   platform::VmListClient m_VmList;
-  Kind m_Services;
-  Kind m_Indexes;
+  StoreFeed m_IndexFeed; ///< The feed of services is part of the decisions.
   std::optional<TimePoint> m_NextVmList;
   bool m_ReadingVmList = false;
 };
--- a/packages/daemon/src/daemon/control/SubmissionRunner.cpp
+++ b/packages/daemon/src/daemon/control/SubmissionRunner.cpp
@@ -89,8 +89,10 @@
   platform::WriteOutcome Outcome =
       co_await m_Store.put(ServiceKind, Value.Content.Name.value(),
                            toJson(Value).dump(), Condition, Deadline);
-  if (std::holds_alternative<platform::Written>(Outcome))
-    m_State.takeConfig(std::move(Value));
+  if (std::holds_alternative<platform::Written>(Outcome)) {
+    m_State.Core.onWritten(std::move(Value));
+    m_State.OnChange();
+  }
   co_return std::visit(WriteVisitor{}, Outcome);
 }
 
