--- a/bench/peer/FramedWay.cpp
+++ b/bench/peer/FramedWay.cpp
@@ -15,7 +15,6 @@
 
 using namespace carawaypond::peer;
 using boost::asio::ip::tcp;
-using Params = wire::ResultSink::DeliverParams;
 
 std::pair<tcp::socket, tcp::socket> connectedPair(IoThread &First,
                                                   IoThread &Second) {
@@ -31,7 +30,7 @@
                  FramedSocket &Out) {
   auto Batch = readBatch(Message.getRoot<wire::Batch>()).value();
   capnp::MallocMessageBuilder Answer;
-  auto Results = Answer.initRoot<Params>().initResults(
+  auto Results = Answer.initRoot<wire::TrafficMessage>().initResults(
       static_cast<capnp::uint>(Batch.size()));
   capnp::uint Next = 0;
   for (const PeerSubrequest &Subrequest : Batch)
@@ -54,7 +53,7 @@
                                          });
   Coordinator = std::make_unique<FramedSocket>(
       std::move(ClientEnd), [&](capnp::MessageReader &Message) {
-        for (auto Result : Message.getRoot<Params>().getResults())
+        for (auto Result : Message.getRoot<wire::TrafficMessage>().getResults())
           Drive->onResult(readResult(Result));
       });
   Drive = std::make_unique<Driver>(Load, [&](const auto &Batch) {
--- a/bench/peer/RpcWay.cpp
+++ b/bench/peer/NodeWay.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-std::string measureRpc(const Workload &Load) {
+std::string measureNode(const Workload &Load) {
   std::unique_ptr<Driver> Drive;
   IoThread OwnerTraffic;
   IoThread Traffic;
@@ -59,7 +59,7 @@
   auto Done = Drive->done();
   boost::asio::post(Traffic.io(), [&Drive] { Drive->start(); });
   Done.wait();
-  return Drive->report().line("rpc", Load.BatchSize);
+  return Drive->report().line("node", Load.BatchSize);
 }
 
 } // namespace carawaypond::bench
--- a/bench/peer/main.cpp
+++ b/bench/peer/main.cpp
@@ -35,7 +35,7 @@
   for (int Round = 0; Round < Given["rounds"].as<int>(); ++Round) {
     for (std::size_t BatchSize : BatchSizes) {
       Load.BatchSize = BatchSize;
-      std::cout << measureRpc(Load) << std::endl;
+      std::cout << measureNode(Load) << std::endl;
       std::cout << measureFramed(Load) << std::endl;
     }
   }
--- a/packages/peer/src/peer/link/LinkTable.cpp
+++ b/packages/peer/src/peer/link/LinkTable.cpp
@@ -6,18 +6,17 @@
 
 namespace carawaypond::peer {
 
-LinkTable::LinkTable(LoopContext &Context) : m_Context(Context) {}
+LinkTable::LinkTable(LoopContext &Context, PeerLink::OnSilent Silent)
+    : m_Context(Context), m_Silent(std::move(Silent)) {}
 
 PeerLink &LinkTable::to(const std::string &Address) {
   std::unique_ptr<PeerLink> &Link = m_Links[Address];
   if (!Link)
-    Link = std::make_unique<PeerLink>(m_Context, Address);
+    Link = std::make_unique<PeerLink>(m_Context, Address, m_Silent);
   return *Link;
 }
 
 void LinkTable::sweep(TimePoint Now) {
-  for (auto &[Address, Link] : m_Links)
-    Link->sweep(Now);
   std::erase_if(m_Links,
                 [Now](auto &Entry) { return Entry.second->idle(Now); });
 }
--- a/packages/peer/src/peer/link/LinkTable.h
+++ b/packages/peer/src/peer/link/LinkTable.h
@@ -15,7 +15,7 @@
 /// @brief The links by address; those that hold nothing are let go.
 class LinkTable {
 public:
-  explicit LinkTable(LoopContext &Context);
+  LinkTable(LoopContext &Context, PeerLink::OnSilent Silent);
 
   /// @return The link to @p Address, made when there is none.
   [[nodiscard]] PeerLink &to(const std::string &Address);
@@ -26,6 +26,7 @@
 
 private:
   LoopContext &m_Context;
+  PeerLink::OnSilent m_Silent;
   std::map<std::string, std::unique_ptr<PeerLink>> m_Links;
 };
 
--- a/packages/peer/src/peer/link/PeerConnection.cpp
+++ b/packages/peer/src/peer/link/PeerConnection.cpp
@@ -3,8 +3,6 @@
 #include "peer/codec/Bytes.h"
 #include "peer/codec/DigestCodec.h"
 #include "peer/codec/ObjectCodec.h"
-#include "peer/codec/SubrequestCodec.h"
-#include "peer/loop/SocketOptions.h"
 
 #include <capnp/message.h>
 
@@ -42,19 +40,11 @@
 } // namespace
 
 PeerConnection::PeerConnection(LoopContext &Context,
-                               kj::Own<kj::AsyncIoStream> Stream,
-                               wire::ResultSink::Client Sink)
+                               kj::Own<kj::AsyncIoStream> Stream)
     : m_Context(Context), m_Stream(kj::mv(Stream)),
       m_Network(*m_Stream, capnp::rpc::twoparty::Side::CLIENT,
                 readerOptions(Context.Options)),
-      m_Rpc(capnp::makeRpcClient(m_Network)), m_Sink(kj::mv(Sink)),
-      m_Remote(bootstrap()) {
-  setNoDelay(*m_Stream);
-}
-
-std::size_t PeerConnection::queuedBytes() {
-  return m_Network.getCurrentQueueSize();
-}
+      m_Rpc(capnp::makeRpcClient(m_Network)), m_Remote(bootstrap()) {}
 
 kj::Promise<void> PeerConnection::onDisconnect() {
   return m_Network.onDisconnect();
@@ -65,7 +55,6 @@
   wire::Identity::Builder Self = Call.initSelf();
   Self.setVm(toText(m_Context.Options.Self.Vm.value()));
   Self.setIncarnation(m_Context.Options.Self.Life.value());
-  Call.setSink(m_Sink);
   return settled<PeerIdentity>(
       Call.send().then([](auto &&Answer) -> Result<PeerIdentity> {
         if (!Answer.getAccepted())
@@ -95,28 +84,6 @@
   return fetch(m_Remote.fetchIndexesRequest(), Names);
 }
 
-kj::Promise<Result<void>>
-PeerConnection::run(Incarnation Expected,
-                    const std::vector<PeerSubrequest> &Batch) {
-  auto Call = m_Remote.runRequest();
-  Call.setExpected(Expected.value());
-  writeBatch(Batch, Call.initBatch());
-  return settled<void>(Call.send().then([](auto &&Answer) -> Result<void> {
-    if (!Answer.getAccepted())
-      return refused(Answer.getReason());
-    return success();
-  }));
-}
-
-kj::Promise<void> PeerConnection::cancel(const std::vector<SubrequestId> &Ids) {
-  auto Call = m_Remote.cancelRequest();
-  auto List = Call.initIds(static_cast<capnp::uint>(Ids.size()));
-  capnp::uint Next = 0;
-  for (const SubrequestId &Id : Ids)
-    List.set(Next++, Id.value());
-  return Call.send().ignoreResult();
-}
-
 kj::Promise<Result<PeerQueryAnswer>>
 PeerConnection::query(Incarnation Expected, const PeerQuery &Query) {
   auto Call = m_Remote.queryRequest();
--- a/packages/peer/src/peer/link/PeerConnection.h
+++ b/packages/peer/src/peer/link/PeerConnection.h
@@ -7,14 +7,12 @@
 #include "peer/message/PeerIdentity.h"
 #include "peer/message/PeerQuery.h"
 #include "peer/message/PeerQueryAnswer.h"
-#include "peer/message/PeerSubrequest.h"
 #include "peer/message/StoredObject.h"
 #include "peer/schema/Peer.capnp.h"
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
 
-#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -25,12 +23,8 @@
 /// Unavailable when the peer refused it.
 class PeerConnection {
 public:
-  /// @param Sink Takes the results of all runs on this connection.
-  PeerConnection(LoopContext &Context, kj::Own<kj::AsyncIoStream> Stream,
-                 wire::ResultSink::Client Sink);
+  PeerConnection(LoopContext &Context, kj::Own<kj::AsyncIoStream> Stream);
 
-  /// @return Bytes that wait in memory to be written.
-  [[nodiscard]] std::size_t queuedBytes();
   /// @return Settles when the peer is gone.
   [[nodiscard]] kj::Promise<void> onDisconnect();
 
@@ -40,9 +34,6 @@
   fetchServices(const std::vector<std::string> &Names);
   [[nodiscard]] kj::Promise<Result<std::vector<StoredObject>>>
   fetchIndexes(const std::vector<std::string> &Names);
-  [[nodiscard]] kj::Promise<Result<void>>
-  run(Incarnation Expected, const std::vector<PeerSubrequest> &Batch);
-  [[nodiscard]] kj::Promise<void> cancel(const std::vector<SubrequestId> &Ids);
   [[nodiscard]] kj::Promise<Result<PeerQueryAnswer>>
   query(Incarnation Expected, const PeerQuery &Query);
 
@@ -55,7 +46,6 @@
   kj::Own<kj::AsyncIoStream> m_Stream;
   capnp::TwoPartyVatNetwork m_Network;
   RpcSystem m_Rpc;
-  wire::ResultSink::Client m_Sink;
   wire::Peer::Client m_Remote;
 };
 
--- a/packages/peer/src/peer/link/PeerLink.cpp
+++ b/packages/peer/src/peer/link/PeerLink.cpp
@@ -1,35 +1,16 @@
 #include "peer/link/PeerLink.h"
 
-#include "core/invariant/Invariant.h"
-#include "peer/codec/ResultCodec.h"
-#include "peer/codec/SubrequestCodec.h"
-#include "peer/loop/NumericAddress.h"
+#include "peer/loop/Preamble.h"
+#include "peer/loop/SocketOptions.h"
+#include "peer/traffic/Endpoint.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace carawaypond::peer {
 
-/// Hands the results that arrive on one connection to the link.
-class PeerLink::Sink final : public wire::ResultSink::Server {
-public:
-  Sink(PeerLink &Link, std::uint64_t Generation)
-      : m_Link(Link), m_Generation(Generation) {}
-
-  kj::Promise<void> deliver(DeliverContext Context) override {
-    for (wire::SubrequestResult::Reader Result :
-         Context.getParams().getResults())
-      m_Link.onResult(m_Generation, readResult(Result));
-    return kj::READY_NOW;
-  }
-
-private:
-  PeerLink &m_Link;
-  std::uint64_t m_Generation;
-};
-
-PeerLink::PeerLink(LoopContext &Context, std::string Address)
+PeerLink::PeerLink(LoopContext &Context, std::string Address, OnSilent Silent)
     : m_Context(Context), m_Address(std::move(Address)),
+      m_Silent(std::move(Silent)),
       m_Backoff(Context.Options.BackoffFirst, Context.Options.BackoffMax),
       m_RetryAt(monotonicNow()), m_Tasks(*this) {}
 
@@ -51,8 +32,9 @@
       if (Silent)
         ++m_Context.Counters.ExchangesTimedOut;
       if (Silent && Generation == m_Generation)
-        drop({.Code = ErrorCode::ConnectionLost,
-              .Message = m_Address + " is silent"});
+        drop();
+      if (Silent)
+        m_Silent(m_Address);
       OnReply(std::move(Outcome));
     };
     track<Digest>(m_Connection->exchange(Own), Settle, Timeout);
@@ -73,25 +55,6 @@
   });
 }
 
-void PeerLink::run(Incarnation Expected, std::vector<PeerSubrequest> Batch,
-                   RunObserver Observer) {
-  whenUp([this, Expected, Batch = std::move(Batch),
-          Observer = std::move(Observer)](const Result<void> &Up) {
-    Result<void> Sendable = Up ? checkBatch(Expected, Batch) : Up;
-    if (Sendable)
-      return sendRun(Expected, Batch, Observer);
-    std::vector<SubrequestId> Ids;
-    for (const PeerSubrequest &Subrequest : Batch)
-      Ids.push_back(Subrequest.Id);
-    Observer.OnLost(Sendable.error(), Ids);
-  });
-}
-
-void PeerLink::cancel(const std::vector<SubrequestId> &Ids) {
-  if (m_Peer)
-    m_Tasks.add(m_Connection->cancel(Ids));
-}
-
 void PeerLink::query(Incarnation Expected, PeerQuery Query,
                      Reply<PeerQueryAnswer> OnReply, Duration Timeout) {
   whenUp([this, Expected, Query = std::move(Query),
@@ -105,11 +68,9 @@
   });
 }
 
-void PeerLink::sweep(TimePoint Now) { m_Runs.expire(Now); }
-
 kj::Promise<void> PeerLink::close() {
   m_Attempt = nullptr;
-  drop({.Code = ErrorCode::ConnectionLost, .Message = "this node stops"});
+  drop();
   settleWaiting(
       failure(ErrorCode::NotConnected, "this node stops, nothing was sent"));
   return m_Tasks.onEmpty();
@@ -156,60 +117,11 @@
                      std::to_string(Expected.value()));
 }
 
-Result<void> PeerLink::checkBatch(Incarnation Expected,
-                                  const std::vector<PeerSubrequest> &Batch) {
-  if (Result<void> Match = checkExpected(Expected); !Match)
-    return Match;
-  const PeerOptions &Options = m_Context.Options;
-  std::size_t Bytes = wireBytes(Batch);
-  if (Bytes > Options.MaxMessageBytes)
-    return failure(ErrorCode::TooLarge,
-                   "a batch of " + std::to_string(Bytes) +
-                       " bytes exceeds the limit of " +
-                       std::to_string(Options.MaxMessageBytes));
-  bool Full =
-      m_Runs.outstanding() + Batch.size() > Options.MaxOutstandingSubrequests ||
-      m_Connection->queuedBytes() > Options.MaxQueuedBytes;
-  if (!Full)
-    return success();
-  ++m_Context.Counters.CallsRefused;
-  return failure(ErrorCode::NotConnected,
-                 "the queue to " + m_Address + " is full, nothing was sent");
-}
-
-TimePoint PeerLink::expiryOf(const std::vector<PeerSubrequest> &Batch) const {
-  WallMillis Latest;
-  for (const PeerSubrequest &Subrequest : Batch)
-    Latest = std::max(Latest, Subrequest.Deadline);
-  TimePoint Now = monotonicNow();
-  TimePoint Deadline = toMonotonic(Latest, Now, wallNow());
-  return std::max(Now, Deadline) + m_Context.Options.ResultGrace;
-}
-
-void PeerLink::sendRun(Incarnation Expected,
-                       const std::vector<PeerSubrequest> &Batch,
-                       RunObserver Observer) {
-  m_Context.Counters.SubrequestsSent += Batch.size();
-  RunTable::RunNumber Number =
-      m_Runs.add(Batch, expiryOf(Batch), std::move(Observer));
-  auto Sent = m_Connection->run(Expected, Batch);
-  m_Tasks.add(Sent.then([this, Number](Result<void> Outcome) {
-    if (!Outcome)
-      m_Runs.fail(Number, Outcome.error());
-  }));
-}
-
-void PeerLink::onResult(std::uint64_t Generation, PeerResult Result) {
-  ++m_Context.Counters.ResultsReceived;
-  if (Generation != m_Generation || !m_Runs.deliver(std::move(Result)))
-    ++m_Context.Counters.ResultsUnexpected;
-}
-
 void PeerLink::whenUp(Ready Call) {
   if (m_Peer)
     return Call(success());
-  if (Result<void> Valid = checkNumericAddress(m_Address); !Valid)
-    return Call(Valid);
+  if (auto Valid = parseEndpoint(m_Address); !Valid)
+    return Call(Valid.error());
   if (monotonicNow() < m_RetryAt)
     return Call(failure(ErrorCode::NotConnected,
                         m_Address + " failed and is not yet tried again"));
@@ -240,9 +152,14 @@
         auto Stream = Remote->connect();
         return Stream.attach(kj::mv(Remote));
       })
+      .then([](kj::Own<kj::AsyncIoStream> Stream) {
+        setNoDelay(*Stream);
+        auto Written = Stream->write(RpcPreamble.data(), RpcPreamble.size());
+        return Written.then(
+            [Stream = kj::mv(Stream)]() mutable { return kj::mv(Stream); });
+      })
       .then([this](kj::Own<kj::AsyncIoStream> Stream) {
-        m_Connection = kj::heap<PeerConnection>(
-            m_Context, kj::mv(Stream), kj::heap<Sink>(*this, m_Generation));
+        m_Connection = kj::heap<PeerConnection>(m_Context, kj::mv(Stream));
         return m_Connection->hello();
       })
       .catch_([](kj::Exception &&Cause) -> Outcome {
@@ -270,12 +187,11 @@
   auto Gone = m_Connection->onDisconnect().catch_([](kj::Exception &&) {});
   m_Tasks.add(Gone.then([this, Generation = m_Generation] {
     if (Generation == m_Generation)
-      drop({.Code = ErrorCode::ConnectionLost,
-            .Message = m_Address + " closed the connection"});
+      drop();
   }));
 }
 
-void PeerLink::drop(const Error &Reason) {
+void PeerLink::drop() {
   m_Connecting = false;
   discardConnection();
   if (!m_Peer)
@@ -283,7 +199,6 @@
   m_Peer.reset();
   ++m_Context.Counters.ConnectionsLost;
   m_RetryAt = monotonicNow() + m_Backoff.next(m_Context.Random);
-  m_Runs.failAll(Reason);
 }
 
 void PeerLink::discardConnection() {
@@ -301,8 +216,7 @@
 }
 
 void PeerLink::taskFailed(kj::Exception &&) {
-  // Only a cancel fails here: it is a hint, and the connection's loss is
-  // handled where it is watched.
+  // Calls settle as results; nothing else fails.
 }
 
 } // namespace carawaypond::peer
--- a/packages/peer/src/peer/link/PeerLink.h
+++ b/packages/peer/src/peer/link/PeerLink.h
@@ -6,15 +6,12 @@
 #include "core/time/Time.h"
 #include "peer/link/Backoff.h"
 #include "peer/link/PeerConnection.h"
-#include "peer/link/RunTable.h"
 #include "peer/loop/LoopContext.h"
 #include "peer/message/PeerIdentity.h"
 #include "peer/message/PeerQuery.h"
 #include "peer/message/PeerQueryAnswer.h"
-#include "peer/message/PeerSubrequest.h"
 #include "peer/message/StoredObject.h"
 #include "peer/node/Reply.h"
-#include "peer/node/RunObserver.h"
 
 #include <kj/async.h>
 
@@ -32,8 +29,10 @@
 class PeerLink final : private kj::TaskSet::ErrorHandler {
 public:
   enum class ObjectKind { Service, Index };
+  using OnSilent = std::function<void(const std::string &Address)>;
 
-  PeerLink(LoopContext &Context, std::string Address);
+  /// @param Silent Told that an exchange timed out.
+  PeerLink(LoopContext &Context, std::string Address, OnSilent Silent);
   ~PeerLink() noexcept(false);
   PeerLink(const PeerLink &) = delete;
   PeerLink &operator=(const PeerLink &) = delete;
@@ -44,21 +43,14 @@
   void exchange(Digest Own, Reply<Digest> OnReply, Duration Timeout);
   void fetch(ObjectKind Kind, std::vector<std::string> Names,
              Reply<std::vector<StoredObject>> OnReply, Duration Timeout);
-  void run(Incarnation Expected, std::vector<PeerSubrequest> Batch,
-           RunObserver Observer);
-  void cancel(const std::vector<SubrequestId> &Ids);
   void query(Incarnation Expected, PeerQuery Query,
              Reply<PeerQueryAnswer> OnReply, Duration Timeout);
 
-  /// @brief Ends the runs whose time is over.
-  void sweep(TimePoint Now);
   /// @brief Ends everything with an error.
   /// @return Settles when every call's reply was made.
   [[nodiscard]] kj::Promise<void> close();
 
 private:
-  class Sink;
-
   /// Told that the connection is up, or why the call can't be sent.
   using Ready = std::function<void(const Result<void> &)>;
 
@@ -69,30 +61,22 @@
                                                Duration Timeout);
   [[nodiscard]] Result<void> checkCall() const;
   [[nodiscard]] Result<void> checkExpected(Incarnation Expected);
-  [[nodiscard]] Result<void>
-  checkBatch(Incarnation Expected, const std::vector<PeerSubrequest> &Batch);
-  [[nodiscard]] TimePoint
-  expiryOf(const std::vector<PeerSubrequest> &Batch) const;
-
   void whenUp(Ready Call);
-  void sendRun(Incarnation Expected, const std::vector<PeerSubrequest> &Batch,
-               RunObserver Observer);
   void startConnecting();
   [[nodiscard]] kj::Promise<Result<PeerIdentity>> connect();
   void onConnected(Result<PeerIdentity> Peer);
   void watchDisconnect();
-  void onResult(std::uint64_t Generation, PeerResult Result);
-  void drop(const Error &Reason);
+  void drop();
   void discardConnection();
   void settleWaiting(const Result<void> &Outcome);
   void taskFailed(kj::Exception &&Cause) override;
 
   LoopContext &m_Context;
   std::string m_Address;
+  OnSilent m_Silent;
   Backoff m_Backoff;
   TimePoint m_RetryAt;
   std::vector<Ready> m_Waiting;
-  RunTable m_Runs;
   std::size_t m_OpenCalls = 0;
   bool m_Connecting = false;
   std::uint64_t m_Generation = 0; ///< Counts connections; old ones are ignored.
--- a/packages/peer/src/peer/loop/LoopContext.h
+++ b/packages/peer/src/peer/loop/LoopContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time/Time.h"
+#include "peer/loop/IncarnationRegistry.h"
 #include "peer/loop/PeerCounters.h"
 #include "peer/loop/TaskQueue.h"
 #include "peer/node/PeerHandlers.h"
@@ -24,6 +25,7 @@
   const PeerOptions &Options;
   const PeerHandlers &Handlers;
   PeerCounters &Counters;
+  IncarnationRegistry &Incarnations;
   std::shared_ptr<TaskQueue> Queue;
   std::mt19937_64 Random{std::random_device{}()};
 };
--- a/packages/peer/src/peer/loop/NodeLoop.h
+++ b/packages/peer/src/peer/loop/NodeLoop.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "core/outcome/Result.h"
 #include "peer/link/LinkTable.h"
 #include "peer/loop/LoopContext.h"
 #include "peer/loop/PeerCounters.h"
@@ -13,7 +12,6 @@
 #include <kj/async-unix.h>
 
 #include <memory>
-#include <string>
 
 namespace carawaypond::peer {
 
@@ -22,22 +20,21 @@
 class NodeLoop {
 public:
   NodeLoop(const PeerOptions &Options, const PeerHandlers &Handlers,
-           PeerCounters &Counters, std::shared_ptr<TaskQueue> Queue);
+           PeerCounters &Counters, IncarnationRegistry &Incarnations,
+           std::shared_ptr<TaskQueue> Queue, PeerLink::OnSilent Silent);
   NodeLoop(const NodeLoop &) = delete;
   NodeLoop &operator=(const NodeLoop &) = delete;
 
   [[nodiscard]] LinkTable &links() { return m_Links; }
 
-  /// @brief Starts to listen.
-  /// @return "ip:port" with the port that is in use.
-  [[nodiscard]] Result<std::string> listen();
+  /// @brief Takes over the descriptor of a connection that a peer opened.
+  void adopt(int Descriptor);
   /// @brief Serves until stop(), then ends what is open.
   void run();
   void stop();
 
 private:
   [[nodiscard]] kj::Promise<void> pumpTasks();
-  [[nodiscard]] kj::Promise<void> acceptConnections();
   [[nodiscard]] kj::Promise<void> tick();
   void runTasks();
   void shutDown();
@@ -47,7 +44,6 @@
   kj::UnixEventPort::FdObserver m_Wake;
   LinkTable m_Links;
   SessionTable m_Sessions;
-  kj::Own<kj::ConnectionReceiver> m_Listener;
   kj::PromiseFulfillerPair<void> m_Stopped;
 };
 
--- a/packages/peer/src/peer/node/PeerHandlers.h
+++ b/packages/peer/src/peer/node/PeerHandlers.h
@@ -20,8 +20,9 @@
 /// does nothing once the connection is gone.
 using ResultSink = std::function<void(PeerResult)>;
 
-/// @brief How the daemon serves other daemons' calls. Every handler runs on the
-/// node's thread, must not block, and may be left empty: its calls are refused.
+/// @brief How the daemon serves other daemons' calls. OnRun and OnCancel run on
+/// the node's traffic thread, the others on its control thread; none may block;
+/// one that is left empty refuses its calls.
 struct PeerHandlers {
   using Names = std::vector<std::string>;
 
--- a/packages/peer/src/peer/node/PeerNode.cpp
+++ b/packages/peer/src/peer/node/PeerNode.cpp
@@ -4,6 +4,7 @@
 #include "peer/loop/NodeLoop.h"
 #include "peer/loop/PeerCounters.h"
 #include "peer/loop/TaskQueue.h"
+#include "peer/traffic/TrafficNode.h"
 
 #include <kj/exception.h>
 
@@ -11,6 +12,8 @@
 #include <thread>
 #include <utility>
 
+#include <unistd.h>
+
 namespace carawaypond::peer {
 
 namespace {
@@ -36,16 +39,19 @@
   [[nodiscard]] PeerStats stats() const { return m_Counters.snapshot(); }
 
   Result<void> start() {
-    std::promise<Result<std::string>> Started;
-    std::future<Result<std::string>> Address = Started.get_future();
-    m_Thread = std::thread([this, &Started] { serve(Started); });
-    Result<std::string> Listening = Address.get();
+    Result<std::string> Listening = m_Traffic.listen();
     if (!Listening)
       return Listening.error();
     m_Address = std::move(Listening.value());
+    std::promise<void> Started;
+    m_Thread = std::thread([this, &Started] { serve(Started); });
+    Started.get_future().wait();
+    m_Traffic.start();
     return success();
   }
 
+  [[nodiscard]] TrafficNode &traffic() { return m_Traffic; }
+
   /// Runs @p Call with the link to @p Address on the node's thread.
   template <typename Call> void onLink(std::string Address, Call Next) {
     bool Posted = m_Queue->post(
@@ -56,30 +62,42 @@
   }
 
 private:
-  void serve(std::promise<Result<std::string>> &Started) {
+  void serve(std::promise<void> &Started) {
     SilentLog Log;
-    NodeLoop Loop(m_Options, m_Handlers, m_Counters, m_Queue);
+    NodeLoop Loop(
+        m_Options, m_Handlers, m_Counters, m_Incarnations, m_Queue,
+        [this](const std::string &Silent) { m_Traffic.drop(Silent); });
     m_Loop = &Loop;
-    Result<std::string> Address = Loop.listen();
-    bool Listening = Address.has_value();
-    Started.set_value(std::move(Address));
-    if (Listening)
-      Loop.run();
+    Started.set_value();
+    Loop.run();
   }
 
   void stop() {
     if (!m_Thread.joinable())
       return;
+    m_Traffic.stop();
     m_Queue->post([this] { m_Loop->stop(); });
     m_Thread.join();
   }
 
+  void adoptOnLoop(int Descriptor) {
+    if (!m_Queue->post([this, Descriptor] { m_Loop->adopt(Descriptor); }))
+      ::close(Descriptor);
+  }
+
   const PeerOptions m_Options;
   const PeerHandlers m_Handlers;
   PeerCounters m_Counters;
+  IncarnationRegistry m_Incarnations;
   std::shared_ptr<TaskQueue> m_Queue = std::make_shared<TaskQueue>();
   NodeLoop *m_Loop = nullptr;
   std::string m_Address;
+  TrafficNode m_Traffic{std::shared_ptr<TrafficContext>(
+                            new TrafficContext{.Options = m_Options,
+                                               .Handlers = m_Handlers,
+                                               .Counters = m_Counters,
+                                               .Incarnations = m_Incarnations}),
+                        [this](int Descriptor) { adoptOnLoop(Descriptor); }};
   std::thread m_Thread;
 };
 
@@ -133,16 +151,12 @@
 
 void PeerNode::run(std::string Address, Incarnation Expected,
                    std::vector<PeerSubrequest> Batch, RunObserver Observer) {
-  m_Impl->onLink(std::move(Address),
-                 [Expected, Batch = std::move(Batch),
-                  Observer = std::move(Observer)](PeerLink &Link) mutable {
-                   Link.run(Expected, std::move(Batch), std::move(Observer));
-                 });
+  m_Impl->traffic().run(std::move(Address), Expected, std::move(Batch),
+                        std::move(Observer));
 }
 
 void PeerNode::cancel(std::string Address, std::vector<SubrequestId> Ids) {
-  m_Impl->onLink(std::move(Address),
-                 [Ids = std::move(Ids)](PeerLink &Link) { Link.cancel(Ids); });
+  m_Impl->traffic().cancel(std::move(Address), std::move(Ids));
 }
 
 void PeerNode::query(std::string Address, Incarnation Expected, PeerQuery Query,
--- a/packages/peer/src/peer/node/PeerNode.h
+++ b/packages/peer/src/peer/node/PeerNode.h
@@ -20,10 +20,11 @@
 
 namespace carawaypond::peer {
 
-/// @brief This daemon's end of all calls between daemons. Owns one thread; its
-/// methods may be called from any thread and return at once. Outcomes arrive on
-/// the node's thread: NotConnected says that no byte of the call was written,
-/// ConnectionLost and TimedOut that the peer may have received it.
+/// @brief This daemon's end of all calls between daemons. Owns a control
+/// thread with Cap'n Proto RPC, and a traffic thread for subrequests. Its
+/// methods may be called from any thread and return at once. NotConnected says
+/// that no byte of the call was written, ConnectionLost and TimedOut that the
+/// peer may have received it.
 class PeerNode {
 public:
   /// @brief Starts to listen.
@@ -31,7 +32,7 @@
   [[nodiscard]] static Result<std::unique_ptr<PeerNode>>
   open(PeerOptions Options, PeerHandlers Handlers);
 
-  /// @brief Ends outstanding calls with an error, then joins the thread.
+  /// @brief Ends outstanding calls with an error, then joins the threads.
   ~PeerNode();
   PeerNode(const PeerNode &) = delete;
   PeerNode &operator=(const PeerNode &) = delete;
--- a/packages/peer/src/peer/node/PeerOptions.h
+++ b/packages/peer/src/peer/node/PeerOptions.h
@@ -26,8 +26,14 @@
   std::size_t MaxQueuedBytes = std::size_t{64} * 1024 * 1024;
   std::size_t MaxQueuedCalls = 1024; ///< Per peer, while connecting.
   std::size_t MaxOutstandingSubrequests = 65'536; ///< Per connection.
-  std::size_t MaxOutstandingCalls = 256; ///< Fetches and queries, likewise.
-  std::size_t MaxInboundConnections = 4096;
+  std::size_t MaxOutstandingCalls = 256;    ///< Fetches and queries, likewise.
+  std::size_t MaxInboundConnections = 4096; ///< Of each kind.
+
+  /// @return The limit for a batch or for results sent together; leaves room
+  /// for what a message holds besides.
+  [[nodiscard]] std::size_t maxBatchBytes() const {
+    return MaxMessageBytes / 2;
+  }
 };
 
 } // namespace carawaypond::peer
--- a/packages/peer/src/peer/node/RunObserver.h
+++ b/packages/peer/src/peer/node/RunObserver.h
@@ -10,7 +10,8 @@
 namespace carawaypond::peer {
 
 /// @brief Hears what became of a run's subrequests: each one ends in exactly
-/// one OnResult or one OnLost. Called on the node's thread; must not block.
+/// one OnResult or one OnLost. Called on the node's traffic thread; must not
+/// block.
 struct RunObserver {
   std::function<void(PeerResult)> OnResult;
   /// The subrequests listed get no result. NotConnected, Unavailable and
--- a/packages/peer/src/peer/schema/Peer.capnp
+++ b/packages/peer/src/peer/schema/Peer.capnp
@@ -122,25 +122,40 @@
   serveMillis @12 :UInt64;
 }
 
-interface ResultSink {
-  deliver @0 (results :List(SubrequestResult)) -> ();
+struct TrafficMessage {
+  # One frame on a traffic connection. The first message from the side that
+  # connects is hello, the first from the other side welcome.
+  union {
+    hello @0 :Identity;
+    welcome :group {
+      accepted @1 :Bool;
+      self @2 :Identity;
+    }
+    run :group {
+      number @3 :UInt64;
+      expected @4 :UInt64;
+      # Refused unless it is the receiver's incarnation.
+      batch @5 :Batch;
+    }
+    refused :group {
+      # Nothing of that run runs.
+      number @6 :UInt64;
+      reason @7 :Text;
+    }
+    results @8 :List(SubrequestResult);
+    cancel @9 :List(UInt64);
+  }
 }
 
 interface Peer {
-  hello @0 (self :Identity, sink :ResultSink) -> (accepted :Bool, self :Identity);
-  # The first call on each connection. Results of run() go to the sink.
+  hello @0 (self :Identity) -> (accepted :Bool, self :Identity);
+  # The first call on each connection.
 
   exchange @1 (digest :Digest) -> (digest :Digest);
 
   fetchServices @2 (names :List(Text)) -> (objects :List(StoredObject));
   fetchIndexes @3 (names :List(Text)) -> (objects :List(StoredObject));
 
-  run @4 (expected :UInt64, batch :Batch) -> (accepted :Bool, reason :Text);
-  # Refused, and nothing of it runs, unless the receiver's incarnation is the
-  # expected one.
-
-  cancel @5 (ids :List(UInt64)) -> ();
-
-  query @6 (expected :UInt64, ticket :Text, deadlineMillis :Int64, body :Data)
+  query @4 (expected :UInt64, ticket :Text, deadlineMillis :Int64, body :Data)
       -> (accepted :Bool, reason :Text, status :UInt16, body :Data);
 }
--- a/packages/peer/src/peer/schema/Peer.capnp.h
+++ b/packages/peer/src/peer/schema/Peer.capnp.h
@@ -47,9 +47,10 @@
 CAPNP_DECLARE_SCHEMA(e70380268abb92fb);
 CAPNP_DECLARE_SCHEMA(fc51a73567ee93e9);
 CAPNP_DECLARE_SCHEMA(9c5de1ac4143528e);
-CAPNP_DECLARE_SCHEMA(862429ea818a0235);
-CAPNP_DECLARE_SCHEMA(975fc6b51058ca2b);
-CAPNP_DECLARE_SCHEMA(b8c6f16ac59a8886);
+CAPNP_DECLARE_SCHEMA(c48cfa596b7c3b74);
+CAPNP_DECLARE_SCHEMA(f82dadf5a889ce32);
+CAPNP_DECLARE_SCHEMA(88507a5b97af6028);
+CAPNP_DECLARE_SCHEMA(f1bbef0c4e2e83bd);
 CAPNP_DECLARE_SCHEMA(8a9432939fa71d75);
 CAPNP_DECLARE_SCHEMA(d498f80f3c40a947);
 CAPNP_DECLARE_SCHEMA(c8828721af6a234d);
@@ -61,10 +62,6 @@
 CAPNP_DECLARE_SCHEMA(a0f7c801f9c0757a);
 CAPNP_DECLARE_SCHEMA(bc3597bf497b5d80);
 CAPNP_DECLARE_SCHEMA(fb4625872c867cd9);
-CAPNP_DECLARE_SCHEMA(cad63052ab1dde05);
-CAPNP_DECLARE_SCHEMA(c1cf24aa5d09565c);
-CAPNP_DECLARE_SCHEMA(e083fd5b1cac002d);
-CAPNP_DECLARE_SCHEMA(a0db4554dcddf3ae);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -257,49 +254,71 @@
   };
 };
 
-struct ResultSink {
-  ResultSink() = delete;
+struct TrafficMessage {
+  TrafficMessage() = delete;
 
-#if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
+  class Reader;
+  class Builder;
+  class Pipeline;
+  enum Which: uint16_t {
+    HELLO,
+    WELCOME,
+    RUN,
+    REFUSED,
+    RESULTS,
+    CANCEL,
+  };
+  struct Welcome;
+  struct Run;
+  struct Refused;
 
-  struct DeliverParams;
-  struct DeliverResults;
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c48cfa596b7c3b74, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TrafficMessage::Welcome {
+  Welcome() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  #if !CAPNP_LITE
   struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(862429ea818a0235)
+    CAPNP_DECLARE_STRUCT_HEADER(f82dadf5a889ce32, 3, 1)
+    #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
-  #endif  // !CAPNP_LITE
 };
 
-struct ResultSink::DeliverParams {
-  DeliverParams() = delete;
+struct TrafficMessage::Run {
+  Run() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(975fc6b51058ca2b, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(88507a5b97af6028, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct ResultSink::DeliverResults {
-  DeliverResults() = delete;
+struct TrafficMessage::Refused {
+  Refused() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b8c6f16ac59a8886, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(f1bbef0c4e2e83bd, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -322,10 +341,6 @@
   struct FetchServicesResults;
   struct FetchIndexesParams;
   struct FetchIndexesResults;
-  struct RunParams;
-  struct RunResults;
-  struct CancelParams;
-  struct CancelResults;
   struct QueryParams;
   struct QueryResults;
 
@@ -345,7 +360,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d498f80f3c40a947, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(d498f80f3c40a947, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -457,66 +472,6 @@
   };
 };
 
-struct Peer::RunParams {
-  RunParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bc3597bf497b5d80, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::RunResults {
-  RunResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fb4625872c867cd9, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::CancelParams {
-  CancelParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cad63052ab1dde05, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Peer::CancelResults {
-  CancelResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c1cf24aa5d09565c, 0, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
 struct Peer::QueryParams {
   QueryParams() = delete;
 
@@ -525,7 +480,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e083fd5b1cac002d, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(bc3597bf497b5d80, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -540,7 +495,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a0db4554dcddf3ae, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(fb4625872c867cd9, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1879,62 +1834,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class ResultSink::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef ResultSink Calls;
-  typedef ResultSink Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::carawaypond::peer::wire::ResultSink::DeliverParams,  ::carawaypond::peer::wire::ResultSink::DeliverResults> deliverRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class ResultSink::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef ResultSink Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::carawaypond::peer::wire::ResultSink::DeliverParams DeliverParams;
-  typedef  ::carawaypond::peer::wire::ResultSink::DeliverResults DeliverResults;
-  typedef ::capnp::CallContext<DeliverParams, DeliverResults> DeliverContext;
-  virtual ::kj::Promise<void> deliver(DeliverContext context);
-
-  inline  ::carawaypond::peer::wire::ResultSink::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::carawaypond::peer::wire::ResultSink>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class ResultSink::DeliverParams::Reader {
+class TrafficMessage::Reader {
 public:
-  typedef DeliverParams Reads;
+  typedef TrafficMessage Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1949,9 +1851,28 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline Which which() const;
+  inline bool isHello() const;
+  inline bool hasHello() const;
+  inline  ::carawaypond::peer::wire::Identity::Reader getHello() const;
+
+  inline bool isWelcome() const;
+  inline typename Welcome::Reader getWelcome() const;
+
+  inline bool isRun() const;
+  inline typename Run::Reader getRun() const;
+
+  inline bool isRefused() const;
+  inline typename Refused::Reader getRefused() const;
+
+  inline bool isResults() const;
   inline bool hasResults() const;
   inline  ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Reader getResults() const;
 
+  inline bool isCancel() const;
+  inline bool hasCancel() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCancel() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1964,9 +1885,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ResultSink::DeliverParams::Builder {
+class TrafficMessage::Builder {
 public:
-  typedef DeliverParams Builds;
+  typedef TrafficMessage Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1980,6 +1901,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline Which which();
+  inline bool isHello();
+  inline bool hasHello();
+  inline  ::carawaypond::peer::wire::Identity::Builder getHello();
+  inline void setHello( ::carawaypond::peer::wire::Identity::Reader value);
+  inline  ::carawaypond::peer::wire::Identity::Builder initHello();
+  inline void adoptHello(::capnp::Orphan< ::carawaypond::peer::wire::Identity>&& value);
+  inline ::capnp::Orphan< ::carawaypond::peer::wire::Identity> disownHello();
+
+  inline bool isWelcome();
+  inline typename Welcome::Builder getWelcome();
+  inline typename Welcome::Builder initWelcome();
+
+  inline bool isRun();
+  inline typename Run::Builder getRun();
+  inline typename Run::Builder initRun();
+
+  inline bool isRefused();
+  inline typename Refused::Builder getRefused();
+  inline typename Refused::Builder initRefused();
+
+  inline bool isResults();
   inline bool hasResults();
   inline  ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Builder getResults();
   inline void setResults( ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Reader value);
@@ -1987,6 +1930,15 @@
   inline void adoptResults(::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>> disownResults();
 
+  inline bool isCancel();
+  inline bool hasCancel();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getCancel();
+  inline void setCancel( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCancel(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initCancel(unsigned int size);
+  inline void adoptCancel(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCancel();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1997,9 +1949,9 @@
 };
 
 #if !CAPNP_LITE
-class ResultSink::DeliverParams::Pipeline {
+class TrafficMessage::Pipeline {
 public:
-  typedef DeliverParams Pipelines;
+  typedef TrafficMessage Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2013,9 +1965,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ResultSink::DeliverResults::Reader {
+class TrafficMessage::Welcome::Reader {
 public:
-  typedef DeliverResults Reads;
+  typedef Welcome Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2030,6 +1982,11 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool getAccepted() const;
+
+  inline bool hasSelf() const;
+  inline  ::carawaypond::peer::wire::Identity::Reader getSelf() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2042,9 +1999,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ResultSink::DeliverResults::Builder {
+class TrafficMessage::Welcome::Builder {
 public:
-  typedef DeliverResults Builds;
+  typedef Welcome Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2058,6 +2015,16 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
+
+  inline bool hasSelf();
+  inline  ::carawaypond::peer::wire::Identity::Builder getSelf();
+  inline void setSelf( ::carawaypond::peer::wire::Identity::Reader value);
+  inline  ::carawaypond::peer::wire::Identity::Builder initSelf();
+  inline void adoptSelf(::capnp::Orphan< ::carawaypond::peer::wire::Identity>&& value);
+  inline ::capnp::Orphan< ::carawaypond::peer::wire::Identity> disownSelf();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2068,14 +2035,15 @@
 };
 
 #if !CAPNP_LITE
-class ResultSink::DeliverResults::Pipeline {
+class TrafficMessage::Welcome::Pipeline {
 public:
-  typedef DeliverResults Pipelines;
+  typedef Welcome Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::carawaypond::peer::wire::Identity::Pipeline getSelf();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2084,98 +2052,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Peer Calls;
-  typedef Peer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::carawaypond::peer::wire::Peer::HelloParams,  ::carawaypond::peer::wire::Peer::HelloResults> helloRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::carawaypond::peer::wire::Peer::ExchangeParams,  ::carawaypond::peer::wire::Peer::ExchangeResults> exchangeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::carawaypond::peer::wire::Peer::FetchServicesParams,  ::carawaypond::peer::wire::Peer::FetchServicesResults> fetchServicesRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::carawaypond::peer::wire::Peer::FetchIndexesParams,  ::carawaypond::peer::wire::Peer::FetchIndexesResults> fetchIndexesRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::carawaypond::peer::wire::Peer::RunParams,  ::carawaypond::peer::wire::Peer::RunResults> runRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::carawaypond::peer::wire::Peer::CancelParams,  ::carawaypond::peer::wire::Peer::CancelResults> cancelRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::carawaypond::peer::wire::Peer::QueryParams,  ::carawaypond::peer::wire::Peer::QueryResults> queryRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Peer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::carawaypond::peer::wire::Peer::HelloParams HelloParams;
-  typedef  ::carawaypond::peer::wire::Peer::HelloResults HelloResults;
-  typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
-  virtual ::kj::Promise<void> hello(HelloContext context);
-  typedef  ::carawaypond::peer::wire::Peer::ExchangeParams ExchangeParams;
-  typedef  ::carawaypond::peer::wire::Peer::ExchangeResults ExchangeResults;
-  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
-  virtual ::kj::Promise<void> exchange(ExchangeContext context);
-  typedef  ::carawaypond::peer::wire::Peer::FetchServicesParams FetchServicesParams;
-  typedef  ::carawaypond::peer::wire::Peer::FetchServicesResults FetchServicesResults;
-  typedef ::capnp::CallContext<FetchServicesParams, FetchServicesResults> FetchServicesContext;
-  virtual ::kj::Promise<void> fetchServices(FetchServicesContext context);
-  typedef  ::carawaypond::peer::wire::Peer::FetchIndexesParams FetchIndexesParams;
-  typedef  ::carawaypond::peer::wire::Peer::FetchIndexesResults FetchIndexesResults;
-  typedef ::capnp::CallContext<FetchIndexesParams, FetchIndexesResults> FetchIndexesContext;
-  virtual ::kj::Promise<void> fetchIndexes(FetchIndexesContext context);
-  typedef  ::carawaypond::peer::wire::Peer::RunParams RunParams;
-  typedef  ::carawaypond::peer::wire::Peer::RunResults RunResults;
-  typedef ::capnp::CallContext<RunParams, RunResults> RunContext;
-  virtual ::kj::Promise<void> run(RunContext context);
-  typedef  ::carawaypond::peer::wire::Peer::CancelParams CancelParams;
-  typedef  ::carawaypond::peer::wire::Peer::CancelResults CancelResults;
-  typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
-  virtual ::kj::Promise<void> cancel(CancelContext context);
-  typedef  ::carawaypond::peer::wire::Peer::QueryParams QueryParams;
-  typedef  ::carawaypond::peer::wire::Peer::QueryResults QueryResults;
-  typedef ::capnp::CallContext<QueryParams, QueryResults> QueryContext;
-  virtual ::kj::Promise<void> query(QueryContext context);
-
-  inline  ::carawaypond::peer::wire::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::carawaypond::peer::wire::Peer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Peer::HelloParams::Reader {
+class TrafficMessage::Run::Reader {
 public:
-  typedef HelloParams Reads;
+  typedef Run Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2190,13 +2069,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSelf() const;
-  inline  ::carawaypond::peer::wire::Identity::Reader getSelf() const;
+  inline  ::uint64_t getNumber() const;
 
-  inline bool hasSink() const;
-#if !CAPNP_LITE
-  inline  ::carawaypond::peer::wire::ResultSink::Client getSink() const;
-#endif  // !CAPNP_LITE
+  inline  ::uint64_t getExpected() const;
+
+  inline bool hasBatch() const;
+  inline  ::carawaypond::peer::wire::Batch::Reader getBatch() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2210,9 +2088,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HelloParams::Builder {
+class TrafficMessage::Run::Builder {
 public:
-  typedef HelloParams Builds;
+  typedef Run Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2226,21 +2104,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSelf();
-  inline  ::carawaypond::peer::wire::Identity::Builder getSelf();
-  inline void setSelf( ::carawaypond::peer::wire::Identity::Reader value);
-  inline  ::carawaypond::peer::wire::Identity::Builder initSelf();
-  inline void adoptSelf(::capnp::Orphan< ::carawaypond::peer::wire::Identity>&& value);
-  inline ::capnp::Orphan< ::carawaypond::peer::wire::Identity> disownSelf();
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
-  inline bool hasSink();
-#if !CAPNP_LITE
-  inline  ::carawaypond::peer::wire::ResultSink::Client getSink();
-  inline void setSink( ::carawaypond::peer::wire::ResultSink::Client&& value);
-  inline void setSink( ::carawaypond::peer::wire::ResultSink::Client& value);
-  inline void adoptSink(::capnp::Orphan< ::carawaypond::peer::wire::ResultSink>&& value);
-  inline ::capnp::Orphan< ::carawaypond::peer::wire::ResultSink> disownSink();
-#endif  // !CAPNP_LITE
+  inline  ::uint64_t getExpected();
+  inline void setExpected( ::uint64_t value);
+
+  inline bool hasBatch();
+  inline  ::carawaypond::peer::wire::Batch::Builder getBatch();
+  inline void setBatch( ::carawaypond::peer::wire::Batch::Reader value);
+  inline  ::carawaypond::peer::wire::Batch::Builder initBatch();
+  inline void adoptBatch(::capnp::Orphan< ::carawaypond::peer::wire::Batch>&& value);
+  inline ::capnp::Orphan< ::carawaypond::peer::wire::Batch> disownBatch();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2252,16 +2127,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HelloParams::Pipeline {
+class TrafficMessage::Run::Pipeline {
 public:
-  typedef HelloParams Pipelines;
+  typedef Run Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::carawaypond::peer::wire::Identity::Pipeline getSelf();
-  inline  ::carawaypond::peer::wire::ResultSink::Client getSink();
+  inline  ::carawaypond::peer::wire::Batch::Pipeline getBatch();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2270,9 +2144,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::HelloResults::Reader {
+class TrafficMessage::Refused::Reader {
 public:
-  typedef HelloResults Reads;
+  typedef Refused Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2287,10 +2161,255 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getAccepted() const;
-
-  inline bool hasSelf() const;
-  inline  ::carawaypond::peer::wire::Identity::Reader getSelf() const;
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasReason() const;
+  inline  ::capnp::Text::Reader getReason() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TrafficMessage::Refused::Builder {
+public:
+  typedef Refused Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasReason();
+  inline  ::capnp::Text::Builder getReason();
+  inline void setReason( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReason(unsigned int size);
+  inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReason();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TrafficMessage::Refused::Pipeline {
+public:
+  typedef Refused Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef Peer Calls;
+  typedef Peer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::carawaypond::peer::wire::Peer::HelloParams,  ::carawaypond::peer::wire::Peer::HelloResults> helloRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::carawaypond::peer::wire::Peer::ExchangeParams,  ::carawaypond::peer::wire::Peer::ExchangeResults> exchangeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::carawaypond::peer::wire::Peer::FetchServicesParams,  ::carawaypond::peer::wire::Peer::FetchServicesResults> fetchServicesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::carawaypond::peer::wire::Peer::FetchIndexesParams,  ::carawaypond::peer::wire::Peer::FetchIndexesResults> fetchIndexesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::carawaypond::peer::wire::Peer::QueryParams,  ::carawaypond::peer::wire::Peer::QueryResults> queryRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Peer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::carawaypond::peer::wire::Peer::HelloParams HelloParams;
+  typedef  ::carawaypond::peer::wire::Peer::HelloResults HelloResults;
+  typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
+  virtual ::kj::Promise<void> hello(HelloContext context);
+  typedef  ::carawaypond::peer::wire::Peer::ExchangeParams ExchangeParams;
+  typedef  ::carawaypond::peer::wire::Peer::ExchangeResults ExchangeResults;
+  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
+  virtual ::kj::Promise<void> exchange(ExchangeContext context);
+  typedef  ::carawaypond::peer::wire::Peer::FetchServicesParams FetchServicesParams;
+  typedef  ::carawaypond::peer::wire::Peer::FetchServicesResults FetchServicesResults;
+  typedef ::capnp::CallContext<FetchServicesParams, FetchServicesResults> FetchServicesContext;
+  virtual ::kj::Promise<void> fetchServices(FetchServicesContext context);
+  typedef  ::carawaypond::peer::wire::Peer::FetchIndexesParams FetchIndexesParams;
+  typedef  ::carawaypond::peer::wire::Peer::FetchIndexesResults FetchIndexesResults;
+  typedef ::capnp::CallContext<FetchIndexesParams, FetchIndexesResults> FetchIndexesContext;
+  virtual ::kj::Promise<void> fetchIndexes(FetchIndexesContext context);
+  typedef  ::carawaypond::peer::wire::Peer::QueryParams QueryParams;
+  typedef  ::carawaypond::peer::wire::Peer::QueryResults QueryResults;
+  typedef ::capnp::CallContext<QueryParams, QueryResults> QueryContext;
+  virtual ::kj::Promise<void> query(QueryContext context);
+
+  inline  ::carawaypond::peer::wire::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::carawaypond::peer::wire::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Peer::HelloParams::Reader {
+public:
+  typedef HelloParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSelf() const;
+  inline  ::carawaypond::peer::wire::Identity::Reader getSelf() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::HelloParams::Builder {
+public:
+  typedef HelloParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSelf();
+  inline  ::carawaypond::peer::wire::Identity::Builder getSelf();
+  inline void setSelf( ::carawaypond::peer::wire::Identity::Reader value);
+  inline  ::carawaypond::peer::wire::Identity::Builder initSelf();
+  inline void adoptSelf(::capnp::Orphan< ::carawaypond::peer::wire::Identity>&& value);
+  inline ::capnp::Orphan< ::carawaypond::peer::wire::Identity> disownSelf();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::HelloParams::Pipeline {
+public:
+  typedef HelloParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::carawaypond::peer::wire::Identity::Pipeline getSelf();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::HelloResults::Reader {
+public:
+  typedef HelloResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getAccepted() const;
+
+  inline bool hasSelf() const;
+  inline  ::carawaypond::peer::wire::Identity::Reader getSelf() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2847,9 +2966,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::RunParams::Reader {
+class Peer::QueryParams::Reader {
 public:
-  typedef RunParams Reads;
+  typedef QueryParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2866,8 +2985,13 @@
 
   inline  ::uint64_t getExpected() const;
 
-  inline bool hasBatch() const;
-  inline  ::carawaypond::peer::wire::Batch::Reader getBatch() const;
+  inline bool hasTicket() const;
+  inline  ::capnp::Text::Reader getTicket() const;
+
+  inline  ::int64_t getDeadlineMillis() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2881,340 +3005,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::RunParams::Builder {
+class Peer::QueryParams::Builder {
 public:
-  typedef RunParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getExpected();
-  inline void setExpected( ::uint64_t value);
-
-  inline bool hasBatch();
-  inline  ::carawaypond::peer::wire::Batch::Builder getBatch();
-  inline void setBatch( ::carawaypond::peer::wire::Batch::Reader value);
-  inline  ::carawaypond::peer::wire::Batch::Builder initBatch();
-  inline void adoptBatch(::capnp::Orphan< ::carawaypond::peer::wire::Batch>&& value);
-  inline ::capnp::Orphan< ::carawaypond::peer::wire::Batch> disownBatch();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Peer::RunParams::Pipeline {
-public:
-  typedef RunParams Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::carawaypond::peer::wire::Batch::Pipeline getBatch();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Peer::RunResults::Reader {
-public:
-  typedef RunResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool getAccepted() const;
-
-  inline bool hasReason() const;
-  inline  ::capnp::Text::Reader getReason() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Peer::RunResults::Builder {
-public:
-  typedef RunResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool getAccepted();
-  inline void setAccepted(bool value);
-
-  inline bool hasReason();
-  inline  ::capnp::Text::Builder getReason();
-  inline void setReason( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initReason(unsigned int size);
-  inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownReason();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Peer::RunResults::Pipeline {
-public:
-  typedef RunResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Peer::CancelParams::Reader {
-public:
-  typedef CancelParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasIds() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getIds() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Peer::CancelParams::Builder {
-public:
-  typedef CancelParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasIds();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getIds();
-  inline void setIds( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setIds(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initIds(unsigned int size);
-  inline void adoptIds(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownIds();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Peer::CancelParams::Pipeline {
-public:
-  typedef CancelParams Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Peer::CancelResults::Reader {
-public:
-  typedef CancelResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Peer::CancelResults::Builder {
-public:
-  typedef CancelResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Peer::CancelResults::Pipeline {
-public:
-  typedef CancelResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Peer::QueryParams::Reader {
-public:
-  typedef QueryParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getExpected() const;
-
-  inline bool hasTicket() const;
-  inline  ::capnp::Text::Reader getTicket() const;
-
-  inline  ::int64_t getDeadlineMillis() const;
-
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Peer::QueryParams::Builder {
-public:
-  typedef QueryParams Builds;
+  typedef QueryParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4846,122 +4639,479 @@
   ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>> Digest::Builder::disownVersions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>> Digest::Builder::disownVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::ReplicaVersions,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool Digest::Reader::getStoreReachable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Digest::Builder::getStoreReachable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setStoreReachable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Digest::Reader::getInformed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool Digest::Builder::getInformed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setInformed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Digest::Reader::getStoreAgeMillis() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Digest::Builder::getStoreAgeMillis() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setStoreAgeMillis( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Digest::Reader::getServeMillis() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Digest::Builder::getServeMillis() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setServeMillis( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::carawaypond::peer::wire::TrafficMessage::Which TrafficMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::carawaypond::peer::wire::TrafficMessage::Which TrafficMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool TrafficMessage::Reader::isHello() const {
+  return which() == TrafficMessage::HELLO;
+}
+inline bool TrafficMessage::Builder::isHello() {
+  return which() == TrafficMessage::HELLO;
+}
+inline bool TrafficMessage::Reader::hasHello() const {
+  if (which() != TrafficMessage::HELLO) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TrafficMessage::Builder::hasHello() {
+  if (which() != TrafficMessage::HELLO) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::carawaypond::peer::wire::Identity::Reader TrafficMessage::Reader::getHello() const {
+  KJ_IREQUIRE((which() == TrafficMessage::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Identity>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::carawaypond::peer::wire::Identity::Builder TrafficMessage::Builder::getHello() {
+  KJ_IREQUIRE((which() == TrafficMessage::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Identity>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TrafficMessage::Builder::setHello( ::carawaypond::peer::wire::Identity::Reader value) {
+  _builder.setDataField<TrafficMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, TrafficMessage::HELLO);
+  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Identity>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::carawaypond::peer::wire::Identity::Builder TrafficMessage::Builder::initHello() {
+  _builder.setDataField<TrafficMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, TrafficMessage::HELLO);
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Identity>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TrafficMessage::Builder::adoptHello(
+    ::capnp::Orphan< ::carawaypond::peer::wire::Identity>&& value) {
+  _builder.setDataField<TrafficMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, TrafficMessage::HELLO);
+  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Identity>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::carawaypond::peer::wire::Identity> TrafficMessage::Builder::disownHello() {
+  KJ_IREQUIRE((which() == TrafficMessage::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Identity>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool TrafficMessage::Reader::isWelcome() const {
+  return which() == TrafficMessage::WELCOME;
+}
+inline bool TrafficMessage::Builder::isWelcome() {
+  return which() == TrafficMessage::WELCOME;
+}
+inline typename TrafficMessage::Welcome::Reader TrafficMessage::Reader::getWelcome() const {
+  KJ_IREQUIRE((which() == TrafficMessage::WELCOME),
+              "Must check which() before get()ing a union member.");
+  return typename TrafficMessage::Welcome::Reader(_reader);
+}
+inline typename TrafficMessage::Welcome::Builder TrafficMessage::Builder::getWelcome() {
+  KJ_IREQUIRE((which() == TrafficMessage::WELCOME),
+              "Must check which() before get()ing a union member.");
+  return typename TrafficMessage::Welcome::Builder(_builder);
+}
+inline typename TrafficMessage::Welcome::Builder TrafficMessage::Builder::initWelcome() {
+  _builder.setDataField<TrafficMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, TrafficMessage::WELCOME);
+  _builder.setDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  return typename TrafficMessage::Welcome::Builder(_builder);
+}
+inline bool TrafficMessage::Reader::isRun() const {
+  return which() == TrafficMessage::RUN;
+}
+inline bool TrafficMessage::Builder::isRun() {
+  return which() == TrafficMessage::RUN;
+}
+inline typename TrafficMessage::Run::Reader TrafficMessage::Reader::getRun() const {
+  KJ_IREQUIRE((which() == TrafficMessage::RUN),
+              "Must check which() before get()ing a union member.");
+  return typename TrafficMessage::Run::Reader(_reader);
+}
+inline typename TrafficMessage::Run::Builder TrafficMessage::Builder::getRun() {
+  KJ_IREQUIRE((which() == TrafficMessage::RUN),
+              "Must check which() before get()ing a union member.");
+  return typename TrafficMessage::Run::Builder(_builder);
+}
+inline typename TrafficMessage::Run::Builder TrafficMessage::Builder::initRun() {
+  _builder.setDataField<TrafficMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, TrafficMessage::RUN);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  return typename TrafficMessage::Run::Builder(_builder);
+}
+inline bool TrafficMessage::Reader::isRefused() const {
+  return which() == TrafficMessage::REFUSED;
+}
+inline bool TrafficMessage::Builder::isRefused() {
+  return which() == TrafficMessage::REFUSED;
+}
+inline typename TrafficMessage::Refused::Reader TrafficMessage::Reader::getRefused() const {
+  KJ_IREQUIRE((which() == TrafficMessage::REFUSED),
+              "Must check which() before get()ing a union member.");
+  return typename TrafficMessage::Refused::Reader(_reader);
+}
+inline typename TrafficMessage::Refused::Builder TrafficMessage::Builder::getRefused() {
+  KJ_IREQUIRE((which() == TrafficMessage::REFUSED),
+              "Must check which() before get()ing a union member.");
+  return typename TrafficMessage::Refused::Builder(_builder);
+}
+inline typename TrafficMessage::Refused::Builder TrafficMessage::Builder::initRefused() {
+  _builder.setDataField<TrafficMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, TrafficMessage::REFUSED);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  return typename TrafficMessage::Refused::Builder(_builder);
+}
+inline bool TrafficMessage::Reader::isResults() const {
+  return which() == TrafficMessage::RESULTS;
+}
+inline bool TrafficMessage::Builder::isResults() {
+  return which() == TrafficMessage::RESULTS;
+}
+inline bool TrafficMessage::Reader::hasResults() const {
+  if (which() != TrafficMessage::RESULTS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TrafficMessage::Builder::hasResults() {
+  if (which() != TrafficMessage::RESULTS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Reader TrafficMessage::Reader::getResults() const {
+  KJ_IREQUIRE((which() == TrafficMessage::RESULTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Builder TrafficMessage::Builder::getResults() {
+  KJ_IREQUIRE((which() == TrafficMessage::RESULTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TrafficMessage::Builder::setResults( ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<TrafficMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, TrafficMessage::RESULTS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Builder TrafficMessage::Builder::initResults(unsigned int size) {
+  _builder.setDataField<TrafficMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, TrafficMessage::RESULTS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TrafficMessage::Builder::adoptResults(
+    ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<TrafficMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, TrafficMessage::RESULTS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>> TrafficMessage::Builder::disownResults() {
+  KJ_IREQUIRE((which() == TrafficMessage::RESULTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool TrafficMessage::Reader::isCancel() const {
+  return which() == TrafficMessage::CANCEL;
+}
+inline bool TrafficMessage::Builder::isCancel() {
+  return which() == TrafficMessage::CANCEL;
+}
+inline bool TrafficMessage::Reader::hasCancel() const {
+  if (which() != TrafficMessage::CANCEL) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TrafficMessage::Builder::hasCancel() {
+  if (which() != TrafficMessage::CANCEL) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader TrafficMessage::Reader::getCancel() const {
+  KJ_IREQUIRE((which() == TrafficMessage::CANCEL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder TrafficMessage::Builder::getCancel() {
+  KJ_IREQUIRE((which() == TrafficMessage::CANCEL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TrafficMessage::Builder::setCancel( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  _builder.setDataField<TrafficMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, TrafficMessage::CANCEL);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void TrafficMessage::Builder::setCancel(::kj::ArrayPtr<const  ::uint64_t> value) {
+  _builder.setDataField<TrafficMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, TrafficMessage::CANCEL);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder TrafficMessage::Builder::initCancel(unsigned int size) {
+  _builder.setDataField<TrafficMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, TrafficMessage::CANCEL);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TrafficMessage::Builder::adoptCancel(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  _builder.setDataField<TrafficMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, TrafficMessage::CANCEL);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> TrafficMessage::Builder::disownCancel() {
+  KJ_IREQUIRE((which() == TrafficMessage::CANCEL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Digest::Reader::getStoreReachable() const {
+inline bool TrafficMessage::Welcome::Reader::getAccepted() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 
-inline bool Digest::Builder::getStoreReachable() {
+inline bool TrafficMessage::Welcome::Builder::getAccepted() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline void Digest::Builder::setStoreReachable(bool value) {
+inline void TrafficMessage::Welcome::Builder::setAccepted(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Digest::Reader::getInformed() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+inline bool TrafficMessage::Welcome::Reader::hasSelf() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool Digest::Builder::getInformed() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+inline bool TrafficMessage::Welcome::Builder::hasSelf() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Digest::Builder::setInformed(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+inline  ::carawaypond::peer::wire::Identity::Reader TrafficMessage::Welcome::Reader::getSelf() const {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Identity>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::carawaypond::peer::wire::Identity::Builder TrafficMessage::Welcome::Builder::getSelf() {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Identity>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::carawaypond::peer::wire::Identity::Pipeline TrafficMessage::Welcome::Pipeline::getSelf() {
+  return  ::carawaypond::peer::wire::Identity::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void TrafficMessage::Welcome::Builder::setSelf( ::carawaypond::peer::wire::Identity::Reader value) {
+  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Identity>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::carawaypond::peer::wire::Identity::Builder TrafficMessage::Welcome::Builder::initSelf() {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Identity>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TrafficMessage::Welcome::Builder::adoptSelf(
+    ::capnp::Orphan< ::carawaypond::peer::wire::Identity>&& value) {
+  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Identity>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::carawaypond::peer::wire::Identity> TrafficMessage::Welcome::Builder::disownSelf() {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Identity>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Digest::Reader::getStoreAgeMillis() const {
+inline  ::uint64_t TrafficMessage::Run::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Digest::Builder::getStoreAgeMillis() {
+inline  ::uint64_t TrafficMessage::Run::Builder::getNumber() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Digest::Builder::setStoreAgeMillis( ::uint64_t value) {
+inline void TrafficMessage::Run::Builder::setNumber( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Digest::Reader::getServeMillis() const {
+inline  ::uint64_t TrafficMessage::Run::Reader::getExpected() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Digest::Builder::getServeMillis() {
+inline  ::uint64_t TrafficMessage::Run::Builder::getExpected() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Digest::Builder::setServeMillis( ::uint64_t value) {
+inline void TrafficMessage::Run::Builder::setExpected( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool TrafficMessage::Run::Reader::hasBatch() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TrafficMessage::Run::Builder::hasBatch() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::carawaypond::peer::wire::Batch::Reader TrafficMessage::Run::Reader::getBatch() const {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Batch>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::carawaypond::peer::wire::Batch::Builder TrafficMessage::Run::Builder::getBatch() {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Batch>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 #if !CAPNP_LITE
-inline ResultSink::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline ResultSink::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline ResultSink::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline ResultSink::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline ResultSink::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::carawaypond::peer::wire::ResultSink::Client& ResultSink::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
+inline  ::carawaypond::peer::wire::Batch::Pipeline TrafficMessage::Run::Pipeline::getBatch() {
+  return  ::carawaypond::peer::wire::Batch::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::carawaypond::peer::wire::ResultSink::Client& ResultSink::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+#endif  // !CAPNP_LITE
+inline void TrafficMessage::Run::Builder::setBatch( ::carawaypond::peer::wire::Batch::Reader value) {
+  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Batch>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::carawaypond::peer::wire::Batch::Builder TrafficMessage::Run::Builder::initBatch() {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Batch>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TrafficMessage::Run::Builder::adoptBatch(
+    ::capnp::Orphan< ::carawaypond::peer::wire::Batch>&& value) {
+  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Batch>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::carawaypond::peer::wire::Batch> TrafficMessage::Run::Builder::disownBatch() {
+  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Batch>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-#endif  // !CAPNP_LITE
-inline bool ResultSink::DeliverParams::Reader::hasResults() const {
+inline  ::uint64_t TrafficMessage::Refused::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TrafficMessage::Refused::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TrafficMessage::Refused::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TrafficMessage::Refused::Reader::hasReason() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ResultSink::DeliverParams::Builder::hasResults() {
+inline bool TrafficMessage::Refused::Builder::hasReason() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Reader ResultSink::DeliverParams::Reader::getResults() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader TrafficMessage::Refused::Reader::getReason() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Builder ResultSink::DeliverParams::Builder::getResults() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder TrafficMessage::Refused::Builder::getReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ResultSink::DeliverParams::Builder::setResults( ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void TrafficMessage::Refused::Builder::setReason( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>::Builder ResultSink::DeliverParams::Builder::initResults(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder TrafficMessage::Refused::Builder::initReason(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ResultSink::DeliverParams::Builder::adoptResults(
-    ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void TrafficMessage::Refused::Builder::adoptReason(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>> ResultSink::DeliverParams::Builder::disownResults() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::carawaypond::peer::wire::SubrequestResult,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> TrafficMessage::Refused::Builder::disownReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -5028,45 +5178,6 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::HelloParams::Reader::hasSink() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::HelloParams::Builder::hasSink() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-#if !CAPNP_LITE
-inline  ::carawaypond::peer::wire::ResultSink::Client Peer::HelloParams::Reader::getSink() const {
-  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::ResultSink>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::carawaypond::peer::wire::ResultSink::Client Peer::HelloParams::Builder::getSink() {
-  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::ResultSink>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::carawaypond::peer::wire::ResultSink::Client Peer::HelloParams::Pipeline::getSink() {
-  return  ::carawaypond::peer::wire::ResultSink::Client(_typeless.getPointerField(1).asCap());
-}
-inline void Peer::HelloParams::Builder::setSink( ::carawaypond::peer::wire::ResultSink::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::ResultSink>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
-}
-inline void Peer::HelloParams::Builder::setSink( ::carawaypond::peer::wire::ResultSink::Client& cap) {
-  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::ResultSink>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
-}
-inline void Peer::HelloParams::Builder::adoptSink(
-    ::capnp::Orphan< ::carawaypond::peer::wire::ResultSink>&& value) {
-  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::ResultSink>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::carawaypond::peer::wire::ResultSink> Peer::HelloParams::Builder::disownSink() {
-  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::ResultSink>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-#endif  // !CAPNP_LITE
-
 inline bool Peer::HelloResults::Reader::getAccepted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5342,145 +5453,6 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Peer::RunParams::Reader::getExpected() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Peer::RunParams::Builder::getExpected() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Peer::RunParams::Builder::setExpected( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Peer::RunParams::Reader::hasBatch() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::RunParams::Builder::hasBatch() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::carawaypond::peer::wire::Batch::Reader Peer::RunParams::Reader::getBatch() const {
-  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Batch>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::carawaypond::peer::wire::Batch::Builder Peer::RunParams::Builder::getBatch() {
-  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Batch>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::carawaypond::peer::wire::Batch::Pipeline Peer::RunParams::Pipeline::getBatch() {
-  return  ::carawaypond::peer::wire::Batch::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::RunParams::Builder::setBatch( ::carawaypond::peer::wire::Batch::Reader value) {
-  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Batch>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::carawaypond::peer::wire::Batch::Builder Peer::RunParams::Builder::initBatch() {
-  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Batch>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::RunParams::Builder::adoptBatch(
-    ::capnp::Orphan< ::carawaypond::peer::wire::Batch>&& value) {
-  ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Batch>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::carawaypond::peer::wire::Batch> Peer::RunParams::Builder::disownBatch() {
-  return ::capnp::_::PointerHelpers< ::carawaypond::peer::wire::Batch>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::RunResults::Reader::getAccepted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool Peer::RunResults::Builder::getAccepted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Peer::RunResults::Builder::setAccepted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Peer::RunResults::Reader::hasReason() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::RunResults::Builder::hasReason() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Peer::RunResults::Reader::getReason() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Peer::RunResults::Builder::getReason() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::RunResults::Builder::setReason( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Peer::RunResults::Builder::initReason(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Peer::RunResults::Builder::adoptReason(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Peer::RunResults::Builder::disownReason() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::CancelParams::Reader::hasIds() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::CancelParams::Builder::hasIds() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Peer::CancelParams::Reader::getIds() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::CancelParams::Builder::getIds() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::CancelParams::Builder::setIds( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline void Peer::CancelParams::Builder::setIds(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Peer::CancelParams::Builder::initIds(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Peer::CancelParams::Builder::adoptIds(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Peer::CancelParams::Builder::disownIds() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
 inline  ::uint64_t Peer::QueryParams::Reader::getExpected() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/peer/src/peer/session/PeerServer.cpp
+++ b/packages/peer/src/peer/session/PeerServer.cpp
@@ -3,7 +3,6 @@
 #include "peer/codec/Bytes.h"
 #include "peer/codec/DigestCodec.h"
 #include "peer/codec/ObjectCodec.h"
-#include "peer/codec/SubrequestCodec.h"
 #include "peer/loop/PendingReply.h"
 #include "peer/session/SessionTable.h"
 
@@ -44,14 +43,13 @@
 
 kj::Promise<void> PeerServer::hello(HelloContext Context) {
   KJ_REQUIRE(!m_Session.peer().has_value(), "a connection says hello once");
-  auto Params = Context.getParams();
-  wire::Identity::Reader From = Params.getSelf();
+  wire::Identity::Reader From = Context.getParams().getSelf();
   PeerIdentity Peer{.Vm = VmName(toString(From.getVm())),
                     .Life = Incarnation(From.getIncarnation())};
   bool Admitted = m_Table.admit(Peer);
   if (Admitted) {
     ++m_Context.Counters.InboundAccepted;
-    m_Session.introduce(std::move(Peer), Params.getSink());
+    m_Session.introduce(std::move(Peer));
   } else {
     ++m_Context.Counters.StaleIncarnations;
   }
@@ -84,37 +82,6 @@
   return fetch(m_Context.Handlers.OnFetchIndexes, Context);
 }
 
-kj::Promise<void> PeerServer::run(RunContext Context) {
-  const PeerIdentity &From = caller();
-  auto Params = Context.getParams();
-  auto Batch = readBatch(Params.getBatch());
-  Result<void> Acceptable = checkBatch(Params.getExpected(), Batch);
-  auto Answer = Context.getResults();
-  Answer.setAccepted(Acceptable.has_value());
-  if (!Acceptable) {
-    Answer.setReason(toText(Acceptable.error().Message));
-    return kj::READY_NOW;
-  }
-  ResultSink Sink = [Queue = m_Context.Queue, &Table = m_Table,
-                     Number = m_Session.number()](PeerResult Result) {
-    Queue->post([&Table, Number, Result = std::move(Result)]() mutable {
-      Table.deliver(Number, std::move(Result));
-    });
-  };
-  m_Context.Handlers.OnRun(From, std::move(Batch.value()), std::move(Sink));
-  return kj::READY_NOW;
-}
-
-kj::Promise<void> PeerServer::cancel(CancelContext Context) {
-  const PeerIdentity &From = caller();
-  std::vector<SubrequestId> Ids;
-  for (std::uint64_t Id : Context.getParams().getIds())
-    Ids.emplace_back(Id);
-  if (m_Context.Handlers.OnCancel)
-    m_Context.Handlers.OnCancel(From, Ids);
-  return kj::READY_NOW;
-}
-
 kj::Promise<void> PeerServer::query(QueryContext Context) {
   requireHello();
   Result<void> Acceptable = checkExpected(Context.getParams().getExpected());
@@ -170,24 +137,6 @@
                      ", not " + std::to_string(Expected));
 }
 
-Result<void>
-PeerServer::checkBatch(std::uint64_t Expected,
-                       const Result<std::vector<PeerSubrequest>> &Batch) {
-  if (Result<void> Match = checkExpected(Expected); !Match)
-    return Match;
-  if (!Batch)
-    return Batch.error();
-  if (!m_Context.Handlers.OnRun)
-    return failure(ErrorCode::Unavailable, "no subrequests are taken here");
-  if (!m_Session.hasRoomFor(Batch.value().size())) {
-    ++m_Context.Counters.CallsRefused;
-    return failure(ErrorCode::Unavailable, "too many subrequests are open");
-  }
-  if (!m_Session.accept(Batch.value()))
-    return failure(ErrorCode::Conflict, "a subrequest id is already in use");
-  return success();
-}
-
 template <typename Handler, typename FetchContext>
 kj::Promise<void> PeerServer::fetch(const Handler &OnFetch,
                                     FetchContext Context) {
--- a/packages/peer/src/peer/session/PeerServer.h
+++ b/packages/peer/src/peer/session/PeerServer.h
@@ -25,8 +25,6 @@
   kj::Promise<void> exchange(ExchangeContext Context) override;
   kj::Promise<void> fetchServices(FetchServicesContext Context) override;
   kj::Promise<void> fetchIndexes(FetchIndexesContext Context) override;
-  kj::Promise<void> run(RunContext Context) override;
-  kj::Promise<void> cancel(CancelContext Context) override;
   kj::Promise<void> query(QueryContext Context) override;
 
 private:
@@ -36,9 +34,6 @@
   void requireHello() const;
   [[nodiscard]] const PeerIdentity &caller() const;
   [[nodiscard]] Result<void> checkExpected(std::uint64_t Expected);
-  [[nodiscard]] Result<void>
-  checkBatch(std::uint64_t Expected,
-             const Result<std::vector<PeerSubrequest>> &Batch);
   [[nodiscard]] kj::Promise<void> startQuery(QueryContext Context);
   template <typename Handler, typename FetchContext>
   [[nodiscard]] kj::Promise<void> fetch(const Handler &OnFetch,
--- a/packages/peer/src/peer/session/SessionTable.h
+++ b/packages/peer/src/peer/session/SessionTable.h
@@ -3,14 +3,11 @@
 #include "core/time/Time.h"
 #include "peer/loop/LoopContext.h"
 #include "peer/message/PeerIdentity.h"
-#include "peer/message/PeerResult.h"
 #include "peer/session/PeerSession.h"
 
 #include <kj/async-io.h>
 #include <kj/async.h>
 
-#include <cstdint>
-#include <map>
 #include <memory>
 #include <vector>
 
@@ -27,12 +24,6 @@
   /// former incarnations are closed.
   /// @return False when a later incarnation of that VM is connected.
   [[nodiscard]] bool admit(const PeerIdentity &Peer);
-  /// @brief Queues a result for the session, if it is still there.
-  void deliver(std::uint64_t Session, PeerResult Result);
-
-  void flushLater(std::uint64_t Session);
-  /// @brief Sends the results that the sessions have queued.
-  void flush();
   /// @brief Removes closed sessions and those that never said hello. Must not
   /// be called from within a session.
   void sweep(TimePoint Now);
@@ -41,9 +32,7 @@
 
 private:
   LoopContext &m_Context;
-  std::map<std::uint64_t, std::unique_ptr<PeerSession>> m_Sessions;
-  std::vector<std::uint64_t> m_ToFlush;
-  std::uint64_t m_Next = 1;
+  std::vector<std::unique_ptr<PeerSession>> m_Sessions;
 };
 
 } // namespace carawaypond::peer
--- a/packages/peer/test/peer/node/NodeFixture.h
+++ b/packages/peer/test/peer/node/NodeFixture.h
@@ -16,6 +16,8 @@
 
 constexpr Duration Generous = std::chrono::seconds(30);
 constexpr Duration Short = Milliseconds(300);
+/// A digest with this fingerprint gets no answer.
+constexpr std::uint64_t SilentMark = 13;
 constexpr std::int64_t FarDeadlineMillis = 60'000;
 
 /// @brief A run that a node took over, with the sink for its results.
@@ -34,6 +36,7 @@
 /// @brief A node whose handlers fill mailboxes.
 struct TestNode {
   Mailbox<TakenRun> Runs;
+  Mailbox<Reply<Digest>> Unanswered;
   Mailbox<std::vector<SubrequestId>> Cancels;
   Mailbox<std::pair<PeerQuery, Reply<PeerQueryAnswer>>> Queries;
   std::unique_ptr<PeerNode> Node;
@@ -52,8 +55,10 @@
 private:
   PeerHandlers handlers() {
     PeerHandlers Handlers;
-    Handlers.OnExchange = [](const PeerIdentity &From, const Digest &In,
-                             const Reply<Digest> &OnReply) {
+    Handlers.OnExchange = [this](const PeerIdentity &From, const Digest &In,
+                                 const Reply<Digest> &OnReply) {
+      if (In.ConfigFingerprint == SilentMark)
+        return Unanswered.put(OnReply);
       Digest Answer = In;
       Answer.Sender.Name = From.Vm;
       OnReply(std::move(Answer));
--- a/packages/peer/test/peer/node/PeerCallTest.cpp
+++ b/packages/peer/test/peer/node/PeerCallTest.cpp
@@ -178,10 +178,12 @@
   Options.HelloTimeout = Short;
   TestNode Server("vm-2", 1, Options);
   TestNode Client("vm-1");
-  constexpr std::uint64_t Tries = 8;
+  constexpr std::uint64_t Tries = 12;
   std::mt19937 Random(1);
+  const std::string Starts[] = {"", "cwp-rpc1", "cwp-trf1"};
   for (std::uint64_t Try = 0; Try < Tries; ++Try)
-    sendUntilClosed(Server.address(), randomBytes(Random, 1 + 97 * Try));
+    sendUntilClosed(Server.address(), Starts[Try % std::size(Starts)] +
+                                          randomBytes(Random, 1 + 97 * Try));
   CHECK(eventually(
       [&] { return Server.Node->stats().InboundRejected == Tries; }));
   Client.Node->exchange(Server.address(), markedDigest(1), into(Replies),
--- a/packages/peer/test/peer/node/PeerRunTest.cpp
+++ b/packages/peer/test/peer/node/PeerRunTest.cpp
@@ -105,6 +105,22 @@
   CHECK(Coordinator.Node->stats().SubrequestsSent == 0);
 }
 
+TEST_CASE("a silent exchange puts the peer's subrequests in doubt") {
+  Observed Seen;
+  Mailbox<Result<Digest>> Replies;
+  TestNode Owner("vm-2");
+  TestNode Coordinator("vm-1");
+  Coordinator.Node->run(Owner.address(), Incarnation(1), makeBatch(1, 1),
+                        Seen.observer());
+  Owner.Runs.take();
+  Digest Unanswered = markedDigest(SilentMark);
+  Coordinator.Node->exchange(
+      Owner.address(), Unanswered,
+      [&Replies](auto Reply) { Replies.put(std::move(Reply)); }, Short);
+  CHECK(Replies.take().error().Code == ErrorCode::TimedOut);
+  CHECK(Seen.Losses.take().Reason.Code == ErrorCode::ConnectionLost);
+}
+
 TEST_CASE("a former incarnation is refused while its successor is connected") {
   Mailbox<Result<Digest>> Replies;
   Observed Seen;
