--- a/packages/daemon/src/daemon/control/OperatorApi.cpp
+++ b/packages/daemon/src/daemon/control/OperatorApi.cpp
@@ -200,11 +200,10 @@
   Result<ServiceConfig> Config = parseServiceConfig(Content);
   if (!Config)
     co_return invalid("/content" + Config.error().Message);
-  co_return co_await submit(
-      {.Id = SubmissionId(Id),
-       .Service = Config.value().Name,
-       .Change = CreateService{.ContentJson = Content.dump()}},
-      201);
+  Submission Wanted{.Id = SubmissionId(Id),
+                    .Service = Config.value().Name,
+                    .Change = CreateService{.ContentJson = Content.dump()}};
+  co_return co_await submit(std::move(Wanted), 201);
 }
 
 OperatorApi::Answer OperatorApi::change(http::Request Request,
@@ -219,12 +218,11 @@
   const nlohmann::json &Patch = Reader.object("patch");
   if (Reader.error())
     co_return invalid(Reader.error()->Message);
-  co_return co_await submit(
-      {.Id = SubmissionId(Id),
-       .Service = ServiceName(Name),
-       .Change = PatchService{.Version = ConfigVersion(Version),
-                              .PatchJson = Patch.dump()}},
-      200);
+  Submission Wanted{.Id = SubmissionId(Id),
+                    .Service = ServiceName(Name),
+                    .Change = PatchService{.Version = ConfigVersion(Version),
+                                           .PatchJson = Patch.dump()}};
+  co_return co_await submit(std::move(Wanted), 200);
 }
 
 OperatorApi::Answer OperatorApi::remove(http::Request Request,
@@ -233,11 +231,11 @@
   std::string Id = Request.queryParameter("submission").value_or("");
   if (!Version || !isSubmissionId(Id))
     co_return invalid("?version=N&submission=ID are needed");
-  co_return co_await submit(
-      {.Id = SubmissionId(Id),
-       .Service = ServiceName(Name),
-       .Change = DeleteService{.Version = ConfigVersion(*Version)}},
-      200);
+  Submission Wanted{
+      .Id = SubmissionId(Id),
+      .Service = ServiceName(Name),
+      .Change = DeleteService{.Version = ConfigVersion(*Version)}};
+  co_return co_await submit(std::move(Wanted), 200);
 }
 
 OperatorApi::Answer OperatorApi::submit(Submission Wanted,
--- a/packages/peer/src/peer/codec/DigestCodec.cpp
+++ b/packages/peer/src/peer/codec/DigestCodec.cpp
@@ -162,6 +162,7 @@
   Out.setStoreAgeMillis(Digest.StoreAgeMillis);
   Out.setServeMillis(Digest.ServeMillis);
   Out.setInformed(Digest.Informed);
+  Out.setAwakeMillis(Digest.AwakeMillis);
 }
 
 Digest readDigest(wire::Digest::Reader In) {
@@ -180,6 +181,7 @@
   Result.StoreAgeMillis = In.getStoreAgeMillis();
   Result.ServeMillis = In.getServeMillis();
   Result.Informed = In.getInformed();
+  Result.AwakeMillis = In.getAwakeMillis();
   return Result;
 }
 
--- a/packages/peer/src/peer/schema/Peer.capnp
+++ b/packages/peer/src/peer/schema/Peer.capnp
@@ -120,6 +120,7 @@
   informed @10 :Bool;
   storeAgeMillis @11 :UInt64;
   serveMillis @12 :UInt64;
+  awakeMillis @13 :UInt64;
 }
 
 struct TrafficMessage {
--- a/packages/peer/src/peer/schema/Peer.capnp.h
+++ b/packages/peer/src/peer/schema/Peer.capnp.h
@@ -247,7 +247,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9c5de1ac4143528e, 5, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(9c5de1ac4143528e, 6, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1712,6 +1712,8 @@
 
   inline  ::uint64_t getServeMillis() const;
 
+  inline  ::uint64_t getAwakeMillis() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1807,6 +1809,9 @@
   inline  ::uint64_t getServeMillis();
   inline void setServeMillis( ::uint64_t value);
 
+  inline  ::uint64_t getAwakeMillis();
+  inline void setAwakeMillis( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4700,6 +4705,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Digest::Reader::getAwakeMillis() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Digest::Builder::getAwakeMillis() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setAwakeMillis( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::carawaypond::peer::wire::TrafficMessage::Which TrafficMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/peer/test/peer/codec/DigestCodecTest.cpp
+++ b/packages/peer/test/peer/codec/DigestCodecTest.cpp
@@ -75,6 +75,7 @@
   Made.StoreAgeMillis = anyNumber();
   Made.ServeMillis = anyNumber();
   Made.Informed = *rc::gen::arbitrary<bool>();
+  Made.AwakeMillis = *rc::gen::arbitrary<std::uint32_t>();
   return Made;
 }
 
--- a/scripts/fleet/fleet.py
+++ b/scripts/fleet/fleet.py
@@ -52,7 +52,8 @@
         self.start_standins()
         for number in range(1, self.vm_count + 1):
             self.start_vm(f"vm-{number}")
-        self.publish_vms()
+            self.publish_vms()
+        self.wait_known(timeout)
         self.wait_serving(timeout)
         self.create_services(services)
         return self
@@ -85,6 +86,10 @@
                        for kind in ("callers", "operators", "peers")},
             "platform": self.platform_address,
         }
+        seeds = [other["peers"] for vm, other in self.addresses.items()
+                 if vm != name]
+        if seeds:
+            settings["seeds"] = seeds
         if self.policy:
             settings["policy"] = self.policy
         return settings
@@ -109,6 +114,23 @@
                 for name in self.vms]
         self.platform_call("PUT", "/control/vms", {"vms": rows})
 
+    def wait_known(self, timeout=60.0):
+        """Waits until every VM holds every VM to be live."""
+        end = time.monotonic() + timeout
+        while not all(self.knows_all(name) for name in self.vms):
+            if time.monotonic() > end:
+                raise FleetError("the VMs do not know each other")
+            time.sleep(0.1)
+
+    def knows_all(self, name):
+        try:
+            _, body = call(self.addresses[name]["operators"], "GET",
+                           "/v1/vms", timeout=2.0)
+        except OSError:
+            return False
+        live = {vm["name"] for vm in body["vms"] if vm["state"] == "live"}
+        return live >= set(self.vms)
+
     def wait_serving(self, timeout=60.0, names=None):
         end = time.monotonic() + timeout
         waiting = set(names or self.vms)
--- a/standins/src/backends/server/SearchReplies.cpp
+++ b/standins/src/backends/server/SearchReplies.cpp
@@ -38,6 +38,7 @@
 HttpReply recordsReply(const SearchRequest &Request, const RecordSet &Found,
                        const ReplicaWindow &Window, bool Draining) {
   std::string Body = R"({"id":)" + nlohmann::json(Request.Id).dump();
+  Body += R"(,"service":)" + nlohmann::json(Request.Service).dump();
   Body += R"(,"shard":)" + std::to_string(Request.Shard.value());
   Body += R"(,"version":)" + std::to_string(Request.Version.value());
   Body += R"(,"layout":)" + std::to_string(Request.Layout);
