--- a/packages/peer/src/peer/traffic/Acceptor.cpp
+++ b/packages/peer/src/peer/traffic/Acceptor.cpp
@@ -37,7 +37,7 @@
 void Acceptor::sweep(TimePoint Now) {
   if (std::exchange(m_Paused, false))
     accept();
-  std::erase_if(m_Newcomers, [this, Now](const auto &Weak) {
+  std::erase_if(m_Newcomers, [Now](const auto &Weak) {
     auto Waiting = Weak.lock();
     if (!Waiting)
       return true;
