Fleet waits for VMs that take no change yet

Cause: a VM that has served for less than 4 s forgets what it may not know and refuses changes as not run.

--- a/scripts/fleet/fleet.py
+++ b/scripts/fleet/fleet.py
@@ -13,6 +13,9 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 
 
+CTL_NOTHING_SENT = 7  # carawayctl's exit code
+
+
 class FleetError(Exception):
     """A step of starting, changing or stopping the fleet failed."""
 
@@ -158,15 +161,23 @@
 
     def create_services(self, services=None):
         for file in self.service_files(services):
-            code, output = self.ctl("service", "create", str(file))
-            if code != 0:
-                raise FleetError(f"create {file.stem}: exit {code}: {output}")
+            self.create_service(file)
         for file in self.service_files(services):
             code, output = self.ctl("service", "wait", file.stem, "--version",
                                     "1")
             if code != 0:
                 raise FleetError(f"wait {file.stem}: exit {code}: {output}")
 
+    def create_service(self, file, timeout=30.0):
+        """Creates one service; VMs that have just started take no change."""
+        end = time.monotonic() + timeout
+        code, output = self.ctl("service", "create", str(file))
+        while code == CTL_NOTHING_SENT and time.monotonic() < end:
+            time.sleep(0.5)
+            code, output = self.ctl("service", "create", str(file))
+        if code != 0:
+            raise FleetError(f"create {file.stem}: exit {code}: {output}")
+
     # What a test does
 
     def ctl(self, *words, vms=None, timeout=60.0):
