--- a/packages/daemon/src/daemon/traffic/QueryRunner.cpp
+++ b/packages/daemon/src/daemon/traffic/QueryRunner.cpp
@@ -35,6 +35,12 @@
   return Found == Config.Classes.end() ? nullptr : &*Found;
 }
 
+/// @return The middle of the time left: what comes after needs time too.
+TimePoint halfwayTo(TimePoint Deadline) {
+  TimePoint Now = monotonicNow();
+  return Now + (Deadline - Now) / 2;
+}
+
 /// @brief Says whether a query got what it asked for in time.
 struct MetDeadlineVisitor {
   bool operator()(const QueryComplete &) const { return true; }
@@ -78,9 +84,10 @@
 } // namespace
 
 QueryRunner::QueryRunner(TrafficContext &Context, ServiceTable &Services,
-                         OwnerRunner &Owned, RemoteOwners &Remote)
+                         OwnerRunner &Owned, RemoteOwners &Remote,
+                         StatusPoller &Poller)
     : m_Context(Context), m_Services(Services), m_Owned(Owned),
-      m_Remote(Remote) {}
+      m_Remote(Remote), m_Poller(Poller) {}
 
 void QueryRunner::apply(std::shared_ptr<const ControlView> View) {
   std::vector<VmName> Live;
@@ -122,6 +129,8 @@
       .Repeatable = Request.Repeatable,
       .Request =
           std::make_shared<const std::string>(std::move(Request.Request))};
+  if (!Service->pinner().pin())
+    co_await m_Poller.learn(Service, halfwayTo(Asked.Deadline));
   TimePoint Now = monotonicNow();
   AdmissionControl &Admission = Service->admission();
   Admission.noteExpectedWait(
--- a/packages/daemon/src/daemon/traffic/QueryRunner.h
+++ b/packages/daemon/src/daemon/traffic/QueryRunner.h
@@ -6,6 +6,7 @@
 #include "daemon/traffic/QueryRequest.h"
 #include "daemon/traffic/RemoteOwners.h"
 #include "daemon/traffic/ServiceTable.h"
+#include "daemon/traffic/StatusPoller.h"
 #include "daemon/traffic/TrafficContext.h"
 #include "http/Response.h"
 
@@ -24,7 +25,7 @@
 class QueryRunner {
 public:
   QueryRunner(TrafficContext &Context, ServiceTable &Services,
-              OwnerRunner &Owned, RemoteOwners &Remote);
+              OwnerRunner &Owned, RemoteOwners &Remote, StatusPoller &Poller);
 
   /// @brief Follows a new control view.
   void apply(std::shared_ptr<const ControlView> View);
@@ -45,6 +46,7 @@
   ServiceTable &m_Services;
   OwnerRunner &m_Owned;
   RemoteOwners &m_Remote;
+  StatusPoller &m_Poller;
   std::shared_ptr<const ControlView> m_View;
   std::shared_ptr<const RouteTable> m_Routes;
   std::uint64_t m_LastRequest = 0;
--- a/packages/daemon/src/daemon/traffic/StatusPoller.cpp
+++ b/packages/daemon/src/daemon/traffic/StatusPoller.cpp
@@ -17,6 +17,9 @@
 
 /// Each server is asked once in this time; the questions are spread over it.
 constexpr Milliseconds PollPeriod{500};
+/// While a snapshot is missing, a service's replicas are asked this often.
+constexpr Milliseconds LearnPeriod{100};
+constexpr Milliseconds LearnRecheck{2};
 
 std::vector<VmName> owningVms(const ControlView &View) {
   std::vector<VmName> Live;
@@ -61,6 +64,32 @@
   }
 }
 
+asio::awaitable<void>
+StatusPoller::learn(std::shared_ptr<ServiceRuntime> Service,
+                    TimePoint Deadline) {
+  asio::steady_timer Timer(m_Context.Io);
+  m_Context.Collected.count("snapshots_learned_total");
+  while (!Service->pinner().pin() && monotonicNow() < Deadline) {
+    TimePoint Now = monotonicNow();
+    TimePoint &LearnedAt = m_LearnedAt[Service->index().Name];
+    if (Now - LearnedAt >= LearnPeriod) {
+      LearnedAt = Now;
+      pollReplicas(Service->index());
+    }
+    Timer.expires_after(LearnRecheck);
+    co_await Timer.async_wait(asio::use_awaitable);
+  }
+}
+
+void StatusPoller::pollReplicas(const IndexObject &Index) {
+  std::set<ServerName> Servers;
+  for (const IndexLayout &Layout : Index.Layouts)
+    for (const ShardReplicas &Shard : Layout.Shards)
+      Servers.insert(Shard.Replicas.begin(), Shard.Replicas.end());
+  for (const ServerName &Server : Servers)
+    pollServer(Server);
+}
+
 void StatusPoller::pollServer(const ServerName &Server) {
   if (m_Asked.insert(Server).second)
     asio::co_spawn(m_Context.Io, poll(Server), asio::detached);
--- a/packages/daemon/src/daemon/traffic/StatusPoller.h
+++ b/packages/daemon/src/daemon/traffic/StatusPoller.h
@@ -38,7 +38,14 @@
   /// @brief Asks each owned server in turn, for as long as the thread runs.
   boost::asio::awaitable<void> run();
 
+  /// @brief Asks a service's replicas until a snapshot can be pinned. For the
+  /// first query of a service here, about which this VM has heard nothing.
+  /// @param Deadline When to give up.
+  boost::asio::awaitable<void> learn(std::shared_ptr<ServiceRuntime> Service,
+                                     TimePoint Deadline);
+
 private:
+  void pollReplicas(const IndexObject &Index);
   void pollServer(const ServerName &Server);
   boost::asio::awaitable<void> poll(ServerName Server);
   void take(const backend::ServerStatus &Status, TimePoint AskedAt);
@@ -49,6 +56,7 @@
   VersionsHandler m_OnVersions;
   std::vector<ServerName> m_Owned;
   std::set<ServerName> m_Asked; ///< Servers with a question out.
+  std::map<std::string, TimePoint> m_LearnedAt; ///< By the index's name.
 };
 
 } // namespace carawaypond::daemon
--- a/packages/daemon/src/daemon/traffic/TrafficNode.cpp
+++ b/packages/daemon/src/daemon/traffic/TrafficNode.cpp
@@ -42,14 +42,14 @@
               }),
       m_Owned(m_Context, m_Services, m_Fleet),
       m_Remote(m_Context, m_Services, m_Owned),
-      m_Queries(m_Context, m_Services, m_Owned, m_Remote),
+      m_Poller(m_Context, m_Services, m_Fleet, std::move(Handlers.OnVersions)),
+      m_Queries(m_Context, m_Services, m_Owned, m_Remote, m_Poller),
       m_Tickets(m_Context, m_Queries),
       m_Addresses({.Lifetime = Config.AddressLifetime}),
-      m_Api(
-          m_Context, m_Queries, m_Tickets,
-          [this](const http::Request &Request) { return addresses(Request); }),
-      m_Poller(m_Context, m_Services, m_Fleet, std::move(Handlers.OnVersions)) {
-}
+      m_Api(m_Context, m_Queries, m_Tickets,
+            [this](const http::Request &Request) {
+              return addresses(Request);
+            }) {}
 
 std::string TrafficNode::address() const { return m_Listener->address(); }
 
--- a/packages/daemon/src/daemon/traffic/TrafficNode.h
+++ b/packages/daemon/src/daemon/traffic/TrafficNode.h
@@ -72,11 +72,11 @@
   BackendFleet m_Fleet;
   OwnerRunner m_Owned;
   RemoteOwners m_Remote;
+  StatusPoller m_Poller;
   QueryRunner m_Queries;
   TicketDesk m_Tickets;
   AddressBook m_Addresses;
   CallerApi m_Api;
-  StatusPoller m_Poller;
   std::unique_ptr<http::Listener> m_Listener;
   std::uint64_t m_Followed = 0;
 };
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -126,6 +126,7 @@
 
 def run(fleet, deployment):
     service, klass, request = sample = SAMPLES[deployment]
+    fleet.wait_searchable(service, request)
     status, answer = fleet.query(service, request, **{"class": klass})
     expect(status == 200 and answer["outcome"] == "complete",
            f"first answer: {status} {answer}")
--- a/scripts/fleet/fleet.py
+++ b/scripts/fleet/fleet.py
@@ -178,6 +178,20 @@
         if code != 0:
             raise FleetError(f"create {file.stem}: exit {code}: {output}")
 
+    def wait_searchable(self, service, request, timeout=20.0):
+        """Waits until every VM has heard which versions the replicas serve."""
+        end = time.monotonic() + timeout
+        waiting = set(self.vms)
+        while waiting:
+            for name in sorted(waiting):
+                address = self.addresses[name]["callers"]
+                status, body = self.query(service, request, address)
+                if status == 200 and body["outcome"] == "complete":
+                    waiting.discard(name)
+                elif time.monotonic() > end:
+                    raise FleetError(f"{name}: {service}: {status} {body}")
+            time.sleep(0.1)
+
     # What a test does
 
     def ctl(self, *words, vms=None, timeout=60.0):
