Text from outside is parsed to a bounded depth and always quotable

Writing JSON recurses, and an error message quotes the value: a ticket, a submission or a backend answer with some 10^5 levels would have exhausted the stack. Refusals that quoted bytes which are not UTF-8 threw. One scan bounds the depth for every reader; a callback parser was ruled out for its cost on answers.

--- a/packages/backend/src/backend/search/SearchCodec.cpp
+++ b/packages/backend/src/backend/search/SearchCodec.cpp
@@ -1,6 +1,7 @@
 #include "backend/search/SearchCodec.h"
 
 #include "coordination/model/JsonReader.h"
+#include "coordination/model/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -97,7 +98,7 @@
 
 SearchOutcome decodeSearch(const SearchRequest &Search,
                            const http::Response &Response) {
-  nlohmann::json Body = nlohmann::json::parse(Response.Body, nullptr, false);
+  nlohmann::json Body = parseJsonText(Response.Body);
   if (Body.is_discarded())
     return malformed("is not JSON");
   JsonReader Reader(Body, "");
@@ -144,7 +145,7 @@
 } // namespace
 
 Result<ServerStatus> decodeStatus(const http::Response &Response) {
-  nlohmann::json Body = nlohmann::json::parse(Response.Body, nullptr, false);
+  nlohmann::json Body = parseJsonText(Response.Body);
   if (Response.Status != 200 || Body.is_discarded())
     return failure(ErrorCode::Malformed, "status answer " +
                                              std::to_string(Response.Status) +
--- /dev/null
+++ b/packages/coordination/src/coordination/model/JsonText.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstddef>
+#include <string_view>
+
+namespace carawaypond {
+
+/// @brief Levels of arrays and objects that are read from other processes.
+/// Writing JSON recurses, so that deeper text would exhaust the stack.
+constexpr std::size_t MaxJsonDepth = 64;
+
+/// @brief Parses text that came from another process.
+/// @return The value; discarded when @p Text is not JSON of at most
+/// MaxJsonDepth levels.
+[[nodiscard]] nlohmann::json parseJsonText(std::string_view Text);
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/test/coordination/model/JsonTextTest.cpp
@@ -0,0 +1,25 @@
+#include "coordination/model/JsonText.h"
+#include "coordination/model/JsonReader.h"
+
+#include <doctest/doctest.h>
+
+using namespace carawaypond;
+
+namespace {
+
+std::string nested(std::size_t Depth) {
+  return std::string(Depth, '[') + std::string(Depth, ']');
+}
+
+} // namespace
+
+TEST_CASE("JSON text is read up to the greatest depth and no further") {
+  CHECK(parseJsonText(nested(MaxJsonDepth)).is_array());
+  CHECK(parseJsonText(nested(MaxJsonDepth + 1)).is_discarded());
+  CHECK(parseJsonText(nested(1'000'000)).is_discarded());
+}
+
+TEST_CASE("brackets in strings do not count as levels") {
+  std::string Text = R"({"a\"[": ")" + std::string(1000, '[') + R"("})";
+  CHECK(parseJsonText(Text).is_object());
+}
--- a/packages/daemon/src/daemon/control/OperatorApi.cpp
+++ b/packages/daemon/src/daemon/control/OperatorApi.cpp
@@ -3,6 +3,7 @@
 #include "coordination/configuration/ForceCheck.h"
 #include "coordination/configuration/SubmissionPlan.h"
 #include "coordination/model/JsonReader.h"
+#include "coordination/model/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -188,7 +189,7 @@
 }
 
 OperatorApi::Answer OperatorApi::create(http::Request Request) {
-  nlohmann::json Body = nlohmann::json::parse(Request.Body, nullptr, false);
+  nlohmann::json Body = parseJsonText(Request.Body);
   JsonReader Reader(Body, "");
   Reader.allowOnly({"submission", "content"});
   std::string Id = Reader.string("submission", 1, MaxSubmissionId);
@@ -208,7 +209,7 @@
 
 OperatorApi::Answer OperatorApi::change(http::Request Request,
                                         std::string Name) {
-  nlohmann::json Body = nlohmann::json::parse(Request.Body, nullptr, false);
+  nlohmann::json Body = parseJsonText(Request.Body);
   JsonReader Reader(Body, "");
   Reader.allowOnly({"submission", "version", "patch"});
   std::string Id = Reader.string("submission", 1, MaxSubmissionId);
@@ -231,10 +232,10 @@
   std::string Id = Request.queryParameter("submission").value_or("");
   if (!Version || !isSubmissionId(Id))
     co_return invalid("?version=N&submission=ID are needed");
-  Submission Wanted{
-      .Id = SubmissionId(Id),
-      .Service = ServiceName(Name),
-      .Change = DeleteService{.Version = ConfigVersion(*Version)}};
+  Submission Wanted{.Id = SubmissionId(Id),
+                    .Service = ServiceName(Name),
+                    .Change =
+                        DeleteService{.Version = ConfigVersion(*Version)}};
   co_return co_await submit(std::move(Wanted), 200);
 }
 
--- a/packages/daemon/src/daemon/traffic/CallerApi.cpp
+++ b/packages/daemon/src/daemon/traffic/CallerApi.cpp
@@ -14,8 +14,11 @@
     return "unknown";
   if (Response.Status != 200)
     return "not_run";
+  // The records come last, and may hold any text.
+  std::string_view Head(Response.Body);
+  Head = Head.substr(0, Head.find("\"records\":["));
   bool IsPartial =
-      Response.Body.find("\"outcome\":\"partial\"") != std::string::npos;
+      Head.find("\"outcome\":\"partial\"") != std::string_view::npos;
   return IsPartial ? "partial" : "complete";
 }
 
--- a/packages/daemon/src/daemon/traffic/QueryRequest.cpp
+++ b/packages/daemon/src/daemon/traffic/QueryRequest.cpp
@@ -1,6 +1,7 @@
 #include "daemon/traffic/QueryRequest.h"
 
 #include "coordination/model/JsonReader.h"
+#include "coordination/model/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -10,25 +11,10 @@
 
 constexpr std::uint64_t MaxDeadlineMillis = 600'000;
 
-/// Deeper nesting is refused before a parser or a backend server meets it.
-constexpr int MaxJsonDepth = 64;
-
-nlohmann::json parseBounded(const std::string &Body) {
-  bool IsTooDeep = false;
-  auto Bound = [&](int Depth, nlohmann::json::parse_event_t, nlohmann::json &) {
-    IsTooDeep = IsTooDeep || Depth > MaxJsonDepth;
-    return !IsTooDeep;
-  };
-  nlohmann::json Value = nlohmann::json::parse(Body, Bound, false);
-  if (IsTooDeep)
-    return nlohmann::json(nlohmann::json::value_t::discarded);
-  return Value;
-}
-
 } // namespace
 
 Result<QueryRequest> parseQueryRequest(const std::string &Body) {
-  nlohmann::json Value = parseBounded(Body);
+  nlohmann::json Value = parseJsonText(Body);
   if (Value.is_discarded())
     return failure(ErrorCode::InvalidInput, "the body is not JSON of at most " +
                                                 std::to_string(MaxJsonDepth) +
--- a/packages/daemon/src/daemon/traffic/QueryResponse.cpp
+++ b/packages/daemon/src/daemon/traffic/QueryResponse.cpp
@@ -11,7 +11,9 @@
 namespace {
 
 http::Response jsonResponse(unsigned Status, const nlohmann::json &Body) {
-  return {.Status = Status, .Body = Body.dump()};
+  return {.Status = Status,
+          .Body = Body.dump(-1, ' ', false,
+                            nlohmann::json::error_handler_t::replace)};
 }
 
 http::Response refusal(unsigned Status, std::string_view Outcome,
--- a/packages/daemon/src/daemon/traffic/TicketDesk.cpp
+++ b/packages/daemon/src/daemon/traffic/TicketDesk.cpp
@@ -1,6 +1,7 @@
 #include "daemon/traffic/TicketDesk.h"
 
 #include "coordination/model/JsonReader.h"
+#include "coordination/model/JsonText.h"
 #include "coordination/ticket/Ticket.h"
 #include "daemon/traffic/QueryResponse.h"
 #include "peer/node/PeerNode.h"
@@ -43,7 +44,7 @@
               .Validity = TicketValidity}) {}
 
 http::Response TicketDesk::issue(const std::string &Body) {
-  nlohmann::json Value = nlohmann::json::parse(Body, nullptr, false);
+  nlohmann::json Value = parseJsonText(Body);
   JsonReader Reader(Value, "");
   Reader.allowOnly({"service"});
   ServiceName Service(Reader.string("service", 1, 64));
