--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -157,7 +157,8 @@
               f"{len(fleet.service_files())} services; logs in "
               f"{fleet.directory}")
         if arguments.keep:
-            show("platform", {"address": fleet.platform_address})
+            for name, value in fleet.exports().items():
+                print(f"export {name}={value}")
             for name, addresses in fleet.addresses.items():
                 show(name, addresses)
             print("\nCtrl-C ends it", flush=True)
--- a/scripts/fleet/fleet.py
+++ b/scripts/fleet/fleet.py
@@ -14,6 +14,7 @@
 
 
 CTL_NOTHING_SENT = 7  # carawayctl's exit code
+SAMPLE_INDEX = {"norrvik": "caseworker-desk-01", "okahandja": "matchdesk-01"}
 
 
 class FleetError(Exception):
@@ -178,6 +179,18 @@
         if code != 0:
             raise FleetError(f"create {file.stem}: exit {code}: {output}")
 
+    def exports(self):
+        """The shell variables that docs/INTERFACE.md's examples use."""
+        first, second = (self.addresses[name] for name in list(self.vms)[:2])
+        index = self.service_files()[0].stem
+        index = SAMPLE_INDEX.get(self.deployment["name"], index)
+        _, body = self.platform_call("GET", f"/v1/objects/index/{index}")
+        return {"CALLERS": first["callers"],
+                "OTHER_CALLERS": second["callers"],
+                "OPERATORS": first["operators"],
+                "PLATFORM": self.platform_address,
+                "BACKEND": body["value"]["servers"][0]["address"]}
+
     # What a test does
 
     def ctl(self, *words, vms=None, timeout=60.0):
