--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -16,7 +16,7 @@
     "norrvik": ("caseworker-desk-01", "interactive",
                 {"match": "household", "value": "H-1007"}),
     "okahandja": ("matchdesk-01", "interactive",
-                  {"match": "supplier", "value": "S-1007"}),
+                  {"match": "store", "value": "F-7"}),
 }
 QUERY_PAUSE = 0.02  # seconds between a caller's queries
 CALLERS = 4
@@ -158,7 +158,8 @@
               f"{len(fleet.service_files())} services; logs in "
               f"{fleet.directory}")
         if arguments.keep:
-            show("platform", {"address": fleet.platform_address})
+            for name, value in fleet.exports().items():
+                print(f"export {name}={value}")
             for name, addresses in fleet.addresses.items():
                 show(name, addresses)
             print("\nCtrl-C ends it", flush=True)
