Load tool: open-loop arrivals against the callers' port

Experiments need latencies that an overloaded system can't flatter: a closed loop sends less when answers are late. Not yet built.

--- /dev/null
+++ b/bench/load/LoadPlan.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/outcome/Result.h"
+#include "core/time/Time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace carawaypond::bench {
+
+/// @brief Queries of one service and class that arrive as a Poisson process.
+struct LoadStream {
+  std::string Name; ///< Streams with one name share a report.
+  std::string Service;
+  std::string Class;
+  double Rate = 1; ///< Queries a second.
+  Milliseconds Deadline{110};
+  std::string Body; ///< The whole query, in JSON.
+};
+
+/// @brief What a run sends, where to, and for how long.
+struct LoadPlan {
+  std::vector<std::string> Vms; ///< Callers' ports to ask for addresses.
+  std::uint64_t Seed = 1;
+  Milliseconds WarmUp{1000}; ///< Arrivals in it are sent but not reported.
+  Milliseconds Length{5000}; ///< After the warm-up.
+  std::vector<LoadStream> Streams;
+};
+
+/// @brief Reads a plan: `vms`, `seed`, `warm_up_ms`, `length_ms` and `streams`,
+/// each with `name`, `service`, `class`, `rate`, `deadline_ms` and `request`.
+[[nodiscard]] Result<LoadPlan> loadPlan(const std::string &Path);
+
+} // namespace carawaypond::bench
