--- /dev/null
+++ b/scripts/measuring/counters.py
@@ -0,0 +1,51 @@
+"""Counters of the stand-ins and the daemons, and what they grew by."""
+
+from fleet import call
+
+DAEMON_COUNTERS = ("subrequests_sent_total", "hedges_total", "retries_total",
+                   "late_answers_total", "forwarded_batches_total",
+                   "backend_connections_opened_total", "cancels_total")
+SERVER_COUNTERS = ("received", "shed", "refused", "cancelled",
+                   "accepted_connections", "refused_connections")
+
+
+def read_daemon(address):
+    """One daemon's counters, whatever its metrics' prefix is."""
+    _, text = call(address, "GET", "/metrics")
+    counters = {}
+    for line in text.splitlines():
+        name, _, value = line.rpartition(" ")
+        for wanted in DAEMON_COUNTERS:
+            if name.endswith(wanted):
+                counters[wanted] = counters.get(wanted, 0) + float(value)
+    return counters
+
+
+def read_servers(fleet, service):
+    """Sums over the service's servers, and the most connections of one."""
+    _, body = fleet.backends_call("GET", "/control/stats")
+    rows = [row for row in body["servers"]
+            if row["server"].startswith(service)]
+    totals = {name: sum(row[name] for row in rows)
+              for name in SERVER_COUNTERS}
+    most = max(row["max_connections"] for row in rows)
+    return totals, most
+
+
+class Counters:
+    """A reading of all counters that matter to one service."""
+
+    def __init__(self, fleet, service):
+        self.servers, self.most_connections = read_servers(fleet, service)
+        self.daemons = {}
+        for addresses in fleet.addresses.values():
+            for name, value in read_daemon(addresses["operators"]).items():
+                self.daemons[name] = self.daemons.get(name, 0) + value
+
+    def since(self, before):
+        grown = {name: value - before.servers[name]
+                 for name, value in self.servers.items()}
+        grown.update({name: value - before.daemons.get(name, 0)
+                      for name, value in self.daemons.items()})
+        grown["most_connections"] = self.most_connections
+        return grown
