--- /dev/null
+++ b/scripts/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs over real processes, with failures from a seeded schedule."""
--- /dev/null
+++ b/scripts/proofs/catalogue.py
@@ -0,0 +1,3 @@
+"""The process proofs by name."""
+
+PROOFS = {}
