prove: process proofs over eight daemons

The state machines' proofs say nothing of sockets, processes and the store. Eight daemons and the stand-ins now run under a seeded schedule of failures, while callers and racing operators are checked against the stand-ins' log. One driver serves all proofs; a focused one takes only the failures that threaten its promise.

--- a/scripts/proofs/catalogue.py
+++ b/scripts/proofs/catalogue.py
@@ -1,3 +1,40 @@
 """The process proofs by name."""
 
-PROOFS = {}
+import collections
+import functools
+
+from . import mixed
+
+ProcessProof = collections.namedtuple("ProcessProof",
+                                      "name promise runs run broken_by")
+FOCUSED_RUNS = 30
+MIXED_RUNS = 150
+
+
+def focused(name, promise, broken_by, *kinds):
+    """Real processes under only the failures that threaten one promise."""
+    return ProcessProof(f"process-{name}", promise, FOCUSED_RUNS,
+                        functools.partial(mixed.run, kinds=kinds), broken_by)
+
+
+ALL = [
+    focused("one-snapshot", "Every answer comes from one snapshot.",
+            "one-snapshot", "advance", "versions", "withdraw", "repartition"),
+    focused("true-coverage", "The coverage reported is true.",
+            "true-coverage", "repartition", "server_stop", "server_fault"),
+    focused("own-answer", "A caller gets the answer to its own request.",
+            "own-answer", "server_fault"),
+    focused("not-run", "What was refused as not run did not run.",
+            "not-run", "kill", "pause", "server_fault", "server_stop"),
+    focused("at-most-once", "What is not repeatable runs at most once.",
+            "at-most-once", "kill", "pause", "replace", "server_fault"),
+    focused("leaving-server", "A leaving server gets no work after 3 s.",
+            "leaving-server", "drain", "leave", "pause", "kill"),
+    focused("graceful-stop", "A planned stop cuts no request in flight.",
+            "graceful-stop", "replace"),
+    focused("configuration", "Accepted is in force within 5 s for good.",
+            "configuration", "store", "kill", "pause", "replace"),
+    ProcessProof("mixed", "Every promise, under every failure at random.",
+                 MIXED_RUNS, mixed.run, "not-run"),
+]
+PROOFS = {proof.name: proof for proof in ALL}
--- /dev/null
+++ b/scripts/proofs/layouts.py
@@ -0,0 +1,36 @@
+"""Which shards each layout of an index has, as the stand-ins made it."""
+
+import threading
+
+
+class Layouts:
+    """Shard counts by (index, layout)."""
+
+    def __init__(self, fleet, services):
+        self.fleet = fleet
+        self.services = services
+        self.lock = threading.Lock()
+        shapes = {shape["name"]: shape["shards"]
+                  for shape in fleet.deployment["shapes"]}
+        self.counts = {(name, 1): shapes[shape_of(name, shapes)]
+                       for name in services}
+
+    def shards(self, service, layout):
+        """Returns the number of shards, or None for an unknown layout."""
+        with self.lock:
+            return self.counts.get((service, layout))
+
+    def repartition(self, service, shards, after):
+        self.fleet.backends_call(
+            "POST", "/control",
+            {"service": service,
+             "index": {"repartition": {"shards": shards, "after": after}}})
+        _, body = self.fleet.backends_call("GET", "/control/indexes")
+        last = {row["name"]: row["last_layout"] for row in body["indexes"]}
+        with self.lock:
+            self.counts[(service, last[service])] = shards
+
+
+def shape_of(service, shapes):
+    """Services are named as their shape, with a number if there are many."""
+    return service if service in shapes else service.rsplit("-", 1)[0]
