--- /dev/null
+++ b/bench/control/MemoryCosts.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <iosfwd>
+
+namespace carawaypond::bench {
+
+/// @brief Prints one JSON line for each kind of state and each size: heap bytes
+/// that one VM takes for it.
+void measureMemory(std::ostream &Out);
+
+} // namespace carawaypond::bench
--- a/packages/backend/src/backend/pool/ServerPool.cpp
+++ b/packages/backend/src/backend/pool/ServerPool.cpp
@@ -114,8 +114,7 @@
 
 asio::awaitable<Result<ServerStatus>> ServerPool::status(TimePoint Deadline) {
   http::Request Request{.Method = "GET", .Path = "/v1/status"};
-  Result<http::Response> Response =
-      co_await call(std::move(Request), Deadline);
+  Result<http::Response> Response = co_await call(std::move(Request), Deadline);
   if (!Response)
     co_return boost::outcome_v2::failure(Response.error());
   co_return decodeStatus(Response.value());
