--- a/packages/backend/src/backend/pool/ServerPool.cpp
+++ b/packages/backend/src/backend/pool/ServerPool.cpp
@@ -75,7 +75,8 @@
 }
 
 asio::awaitable<Result<http::Response>> ServerPool::call(http::Request Request,
-                                                         TimePoint Deadline) {
+                                                         TimePoint Deadline,
+                                                         Permission MaySend) {
   if (!canLease()) {
     ++m_Stats.Exhausted;
     co_return failure(ErrorCode::NotConnected, "all connections to server \"" +
@@ -89,12 +90,17 @@
     if (!Connected)
       co_return failure(ErrorCode::NotConnected, Connected.error().Message);
   }
+  if (MaySend && !MaySend())
+    co_return failure(ErrorCode::Unavailable,
+                      "no new work may go to server \"" +
+                          m_Options.Server.value() + "\"");
   co_return co_await Connection.roundTrip(std::move(Request), Deadline);
 }
 
-asio::awaitable<SearchOutcome> ServerPool::search(SearchRequest Search) {
+asio::awaitable<SearchOutcome> ServerPool::search(SearchRequest Search,
+                                                  Permission MaySend) {
   Result<http::Response> Response =
-      co_await call(encodeSearch(Search), Search.Deadline);
+      co_await call(encodeSearch(Search), Search.Deadline, std::move(MaySend));
   if (!Response)
     co_return outcomeOf(Response.error());
   co_return decodeSearch(Search, Response.value());
