--- a/packages/backend/src/backend/pool/ServerPool.cpp
+++ b/packages/backend/src/backend/pool/ServerPool.cpp
@@ -74,9 +74,9 @@
   --m_Stats.Open;
 }
 
-asio::awaitable<Result<http::Response>> ServerPool::call(http::Request Request,
-                                                         TimePoint Deadline,
-                                                         Permission MaySend) {
+asio::awaitable<Result<http::Response>>
+ServerPool::call(http::Request Request, TimePoint Deadline,
+                 const Permission &MaySend) {
   if (!canLease()) {
     ++m_Stats.Exhausted;
     co_return failure(ErrorCode::NotConnected, "all connections to server \"" +
@@ -100,7 +100,7 @@
 asio::awaitable<SearchOutcome> ServerPool::search(SearchRequest Search,
                                                   Permission MaySend) {
   Result<http::Response> Response =
-      co_await call(encodeSearch(Search), Search.Deadline, std::move(MaySend));
+      co_await call(encodeSearch(Search), Search.Deadline, MaySend);
   if (!Response)
     co_return outcomeOf(Response.error());
   co_return decodeSearch(Search, Response.value());
@@ -110,7 +110,9 @@
   http::Request Request{.Method = "POST",
                         .Path = "/v1/cancel",
                         .Body = nlohmann::json{{"id", Id}}.dump()};
-  Result<http::Response> Response = co_await call(std::move(Request), Deadline);
+  Permission Always;
+  Result<http::Response> Response =
+      co_await call(std::move(Request), Deadline, Always);
   if (!Response || Response.value().Status != 200)
     co_return false;
   nlohmann::json Body =
@@ -120,7 +122,9 @@
 
 asio::awaitable<Result<ServerStatus>> ServerPool::status(TimePoint Deadline) {
   http::Request Request{.Method = "GET", .Path = "/v1/status"};
-  Result<http::Response> Response = co_await call(std::move(Request), Deadline);
+  Permission Always;
+  Result<http::Response> Response =
+      co_await call(std::move(Request), Deadline, Always);
   if (!Response)
     co_return boost::outcome_v2::failure(Response.error());
   co_return decodeStatus(Response.value());
--- a/packages/backend/src/backend/pool/ServerPool.h
+++ b/packages/backend/src/backend/pool/ServerPool.h
@@ -85,7 +85,7 @@
   void giveBack(std::unique_ptr<http::Connection> Connection);
   void dropIdle();
   boost::asio::awaitable<Result<http::Response>>
-  call(http::Request Request, TimePoint Deadline, Permission MaySend = {});
+  call(http::Request Request, TimePoint Deadline, const Permission &MaySend);
 
   boost::asio::any_io_executor m_Executor;
   ServerPoolOptions m_Options;
--- a/packages/coordination/src/coordination/queue/OwnerQueues.cpp
+++ b/packages/coordination/src/coordination/queue/OwnerQueues.cpp
@@ -46,12 +46,18 @@
 }
 
 QueueCounters OwnerQueues::counters() const {
-  QueueCounters Sum = m_Dropped;
+  QueueCounters Sum;
   for (const auto &[Key, Owned] : m_Queues)
     add(Sum, Owned->Queue.counters());
   return Sum;
 }
 
+QueueCounters OwnerQueues::totals() const {
+  QueueCounters Sum = m_Dropped;
+  add(Sum, counters());
+  return Sum;
+}
+
 void OwnerQueues::configure(const ServiceName &Service,
                             const ServiceQueueOptions &Options,
                             VersionBoard &Versions) {
--- a/packages/coordination/src/coordination/queue/OwnerQueues.h
+++ b/packages/coordination/src/coordination/queue/OwnerQueues.h
@@ -35,8 +35,10 @@
   [[nodiscard]] Duration expectedWait(const ServiceName &Service,
                                       const ClassName &Class,
                                       TimePoint Now) const;
-  /// @return The sums over all queues so far.
+  /// @return The sums over the queues that exist.
   [[nodiscard]] QueueCounters counters() const;
+  /// @return The sums over all queues so far.
+  [[nodiscard]] QueueCounters totals() const;
 
   /// @brief Says how a service's queues behave; queues that exist keep their
   /// shares and quantile, and take the new budget.
--- a/packages/coordination/test/coordination/queue/OwnerQueuesTest.cpp
+++ b/packages/coordination/test/coordination/queue/OwnerQueuesTest.cpp
@@ -75,9 +75,10 @@
   note(Queues.enqueue(request(1, 0), Servers, Start));
   CHECK_FALSE(Queues.remove(Service));
   note(Queues.onAnswered(takeRunning(0), answer(), Start));
-  std::uint64_t Sent = Queues.counters().Sends;
+  std::uint64_t Sent = Queues.totals().Sends;
   CHECK(Queues.remove(Service));
-  CHECK(Queues.counters().Sends == Sent);
+  CHECK(Queues.counters().Sends == 0);
+  CHECK(Queues.totals().Sends == Sent);
   note(Queues.enqueue(request(2, 0), Servers, Start));
   CHECK(Running.empty());
   CHECK(Completed[SubrequestId(2)] == 1);
--- a/packages/daemon/src/daemon/traffic/BackendFleet.cpp
+++ b/packages/daemon/src/daemon/traffic/BackendFleet.cpp
@@ -181,8 +181,11 @@
         Error{.Code = ErrorCode::Unavailable,
               .Message = "server \"" + Server.value() + "\" is not known"}};
   std::shared_ptr<backend::ServerPool> Pool = Found->second.Pool;
-  backend::SearchOutcome Outcome = co_await Pool->search(
-      std::move(Search), [this, Server] { return maySend(Server); });
+  backend::ServerPool::Permission MaySend = [this, Server] {
+    return maySend(Server);
+  };
+  backend::SearchOutcome Outcome =
+      co_await Pool->search(std::move(Search), std::move(MaySend));
   noteOutcome(Server, Outcome);
   co_return Outcome;
 }
--- a/packages/daemon/src/daemon/traffic/OwnerRunner.cpp
+++ b/packages/daemon/src/daemon/traffic/OwnerRunner.cpp
@@ -168,7 +168,7 @@
 }
 
 void OwnerRunner::countAll() {
-  QueueCounters Counted = m_Queues.counters();
+  QueueCounters Counted = m_Queues.totals();
   Metrics &Collected = m_Context.Collected;
   Collected.set("subrequests_sent_total", Counted.Sends);
   Collected.set("hedges_total", Counted.Hedges);
