--- a/scripts/capacity_tables.py
+++ b/scripts/capacity_tables.py
@@ -28,6 +28,7 @@
 CALLS_PER_WATCHER = {"service list": 1.0, "service watch": 0.1,
                      "index list": 0.05, "index watch": 0.1, "VM list": 0.5}
 OTHER_VM_LISTS = 1 / 30
+FULL_EXCHANGES = 40  # a second: MembershipOptions, 20 in each 0.5 s
 
 
 def rows(name):
@@ -97,6 +98,30 @@
                   "% of a core", "KB/s out", "of 26 KB/s"), body)
 
 
+def control_slope(column, exchanges, **fixed):
+    """Returns us/s for each of `column`, scaled to a full centre's exchanges."""
+    still = [row for row in rows("fleet") if row["centres"] == 1
+             and not row["versions_move"] and row["changes_per_s"] == 0]
+    points = [(row[column], row["cpu_us_per_s"]) for row in still
+              if all(row[key] == value for key, value in fixed.items())]
+    return slope(points)[0] * FULL_EXCHANGES / exchanges
+
+
+def slope_table():
+    found = [
+        ("VM known", VMS, control_slope(
+            "known_vms", 30, vms_per_centre=16, services=100, replicas=1000)),
+        ("service", SERVICES, control_slope(
+            "services", 14, vms_per_centre=8, known_vms=0, replicas=1000)),
+        ("replica", REPLICAS, control_slope(
+            "replicas", 14, vms_per_centre=8, known_vms=0, services=100))]
+    body = [(f"each {what}", f"{each:.2f}", count,
+             f"{each * count / 1e4:.1f}", verdict(each * count, CPU_LIMIT_US))
+            for what, count, each in found]
+    return table(("slope", "us/s each, at 40 exchanges/s", "at the size",
+                  "% of a core", "of 2.6%"), body)
+
+
 def list_table():
     found = rows("list")
     cpu = slope([(row["services"], row["cpu_us"]) for row in found])[0]
@@ -161,7 +186,8 @@
                   "load of the machine"), body)
 
 
-TABLES = {"memory": memory_table, "fleet": fleet_table, "list": list_table,
+TABLES = {"memory": memory_table, "fleet": fleet_table,
+          "slopes": slope_table, "list": list_table,
           "decisions": decision_table, "store": store_table,
           "processes": process_table}
 
