Version table: recent changes kept apart instead of a scan for each digest

A set by time of change takes its place; a cap filled by key order had starved the highest keys, oldest first does not.

--- a/packages/daemon/src/daemon/control/VersionTable.cpp
+++ b/packages/daemon/src/daemon/control/VersionTable.cpp
@@ -29,12 +29,19 @@
     Row &Known = m_Rows[Place];
     if (newestOf(Heard.Replica.Ranges) <= newestOf(Known.Ranges))
       continue;
+    m_Changes.erase({Known.ChangedAt, Place});
     Known = {.Ranges = Heard.Replica.Ranges, .ChangedAt = Now};
+    m_Changes.emplace(Now, Place);
     Newer.push_back(Heard);
   }
   return Newer;
 }
 
+void VersionTable::forgetOldChanges(TimePoint Now) {
+  while (!m_Changes.empty() && Now - m_Changes.begin()->first >= RecentChange)
+    m_Changes.erase(m_Changes.begin());
+}
+
 void VersionTable::fill(Digest &Out, TimePoint Now) {
   auto Add = [&Out](const Key &Place, const Row &Known) {
     const auto &[Service, Shard, Server] = Place;
@@ -43,11 +50,11 @@
                                         .Shard = Shard,
                                         .Ranges = Known.Ranges}});
   };
-  for (const auto &[Place, Known] : m_Rows) {
+  forgetOldChanges(Now);
+  for (const auto &[ChangedAt, Place] : m_Changes) {
     if (Out.Versions.size() >= MaxRecentRows)
       break;
-    if (Now - Known.ChangedAt < RecentChange)
-      Add(Place, Known);
+    Add(Place, m_Rows.at(Place));
   }
   auto Next = m_Rows.upper_bound(m_Cursor);
   std::size_t Steps = std::min(RotatingRows, m_Rows.size());
--- a/packages/daemon/src/daemon/control/VersionTable.h
+++ b/packages/daemon/src/daemon/control/VersionTable.h
@@ -4,7 +4,9 @@
 #include "core/time/Time.h"
 
 #include <map>
+#include <set>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace carawaypond::daemon {
@@ -29,7 +31,10 @@
     TimePoint ChangedAt;
   };
 
+  void forgetOldChanges(TimePoint Now);
+
   std::map<Key, Row> m_Rows;
+  std::set<std::pair<TimePoint, Key>> m_Changes; ///< Of late, oldest first.
   Key m_Cursor;
 };
 
