--- a/packages/coordination/src/coordination/model/JsonReader.cpp
+++ b/packages/coordination/src/coordination/model/JsonReader.cpp
@@ -1,5 +1,7 @@
 #include "coordination/model/JsonReader.h"
 
+#include "coordination/model/JsonText.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -19,6 +21,12 @@
   return Text.substr(0, MaxShownValue) + "...";
 }
 
+std::string whyNoObject(const nlohmann::json &Value) {
+  if (Value.is_discarded())
+    return "is not JSON of at most " + std::to_string(MaxJsonDepth) + " levels";
+  return shown(Value) + " is not an object";
+}
+
 } // namespace
 
 JsonReader::JsonReader(const nlohmann::json &Object, std::string Path)
@@ -26,7 +34,7 @@
   if (!m_Object.is_object())
     m_Error = Error{.Code = ErrorCode::InvalidInput,
                     .Message = (m_Path.empty() ? "/" : m_Path) + ": " +
-                               shown(m_Object) + " is not an object"};
+                               whyNoObject(m_Object)};
 }
 
 std::string JsonReader::pathOf(std::string_view Key) const {
--- a/packages/coordination/test/coordination/model/JsonTextTest.cpp
+++ b/packages/coordination/test/coordination/model/JsonTextTest.cpp
@@ -23,3 +23,10 @@
   std::string Text = R"({"a\"[": ")" + std::string(1000, '[') + R"("})";
   CHECK(parseJsonText(Text).is_object());
 }
+
+TEST_CASE("text that could not be parsed is called so") {
+  nlohmann::json Value = parseJsonText("{");
+  JsonReader Reader(Value, "");
+  REQUIRE(Reader.error());
+  CHECK(Reader.error()->Message == "/: is not JSON of at most 64 levels");
+}
