--- a/packages/daemon/src/daemon/traffic/TicketDesk.cpp
+++ b/packages/daemon/src/daemon/traffic/TicketDesk.cpp
@@ -100,13 +100,11 @@
   co_return unknown("ticket", std::get<TicketUnknown>(Verdict).Reason);
 }
 
-asio::awaitable<http::Response> TicketDesk::runOnce(const Ticket &Given,
-                                                    QueryRequest Request,
-                                                    TimePoint ArrivedAt) {
-  Ticket Kept = Given;
+asio::awaitable<http::Response>
+TicketDesk::runOnce(Ticket Given, QueryRequest Request, TimePoint ArrivedAt) {
   http::Response Response =
       co_await m_Queries.run(std::move(Request), ArrivedAt);
-  m_Book.complete(Kept,
+  m_Book.complete(Given,
                   std::make_shared<const std::string>(packResponse(Response)),
                   monotonicNow());
   co_return Response;
@@ -148,7 +146,7 @@
   m_Node->query(
       Vm->PeerAddress, To.Life,
       {.Ticket = Request.Ticket, .Deadline = Deadline, .Body = std::move(Body)},
-      [this, Answer, Timer](Result<peer::PeerQueryAnswer> Got) {
+      [this, Answer, Timer](const Result<peer::PeerQueryAnswer> &Got) {
         asio::post(m_Context.Io, [Answer, Timer, Got] {
           *Answer = Got;
           Timer->cancel();
--- a/packages/daemon/src/daemon/traffic/TicketDesk.h
+++ b/packages/daemon/src/daemon/traffic/TicketDesk.h
@@ -43,7 +43,7 @@
 
 private:
   boost::asio::awaitable<http::Response>
-  runOnce(const Ticket &Given, QueryRequest Request, TimePoint ArrivedAt);
+  runOnce(Ticket Given, QueryRequest Request, TimePoint ArrivedAt);
   boost::asio::awaitable<http::Response>
   awaitOutcome(Ticket Given, QueryRequest Request, TimePoint ArrivedAt);
   boost::asio::awaitable<http::Response> forward(const ForwardTicket &To,
