--- a/bench/load/LoadRun.cpp
+++ b/bench/load/LoadRun.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace carawaypond::bench {
 
--- a/bench/load/VmAddresses.cpp
+++ b/bench/load/VmAddresses.cpp
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <optional>
+#include <utility>
+
 namespace carawaypond::bench {
 
 namespace {
