--- a/scripts/measuring/counters.py
+++ b/scripts/measuring/counters.py
@@ -3,7 +3,8 @@
 from fleet import call
 
 DAEMON_COUNTERS = ("subrequests_sent_total", "hedges_total", "retries_total",
-                   "late_answers_total", "forwarded_batches_total",
+                   "reroutes_total", "late_answers_total",
+                   "forwarded_batches_total",
                    "backend_connections_opened_total", "cancels_total")
 SERVER_COUNTERS = ("received", "shed", "refused", "cancelled",
                    "accepted_connections", "refused_connections")
