Owner runs OwnerQueues; split budget; reports in time; permission at the write

OwnerRunner drove each ReplicaSetQueue itself; OwnerQueues does that now (OwnedQueue is gone). It learnt to forget a service, since a queue refers to the service's VersionBoard, and to add up the counters of dropped queues. The extra-load ratio was granted twice, at the coordinator and at the owner: now 1/5 and 4/5 of it.

An owner counted as silent after 40 ms though subrequests queue there. Now max(40 ms, p99 of the service's forwarded reports). Ruled out for now: an acknowledgement of each batch (one more message each), and onOwnerLost from membership (suspicion comes later than most deadlines). The owner's deadline is 4 ms (or 1/10) before the caller's, and its expected wait comes back with each result (waitMicros) for admission. One server's permission is asked again once connected, right before the first byte.

--- a/packages/backend/src/backend/pool/ServerPool.cpp
+++ b/packages/backend/src/backend/pool/ServerPool.cpp
@@ -74,8 +74,9 @@
   --m_Stats.Open;
 }
 
-asio::awaitable<Result<http::Response>> ServerPool::call(http::Request Request,
-                                                         TimePoint Deadline) {
+asio::awaitable<Result<http::Response>>
+ServerPool::call(http::Request Request, TimePoint Deadline,
+                 const Permission &MaySend) {
   if (!canLease()) {
     ++m_Stats.Exhausted;
     co_return failure(ErrorCode::NotConnected, "all connections to server \"" +
@@ -89,12 +90,17 @@
     if (!Connected)
       co_return failure(ErrorCode::NotConnected, Connected.error().Message);
   }
+  if (MaySend && !MaySend())
+    co_return failure(ErrorCode::Unavailable,
+                      "no new work may go to server \"" +
+                          m_Options.Server.value() + "\"");
   co_return co_await Connection.roundTrip(std::move(Request), Deadline);
 }
 
-asio::awaitable<SearchOutcome> ServerPool::search(SearchRequest Search) {
+asio::awaitable<SearchOutcome> ServerPool::search(SearchRequest Search,
+                                                  Permission MaySend) {
   Result<http::Response> Response =
-      co_await call(encodeSearch(Search), Search.Deadline);
+      co_await call(encodeSearch(Search), Search.Deadline, MaySend);
   if (!Response)
     co_return outcomeOf(Response.error());
   co_return decodeSearch(Search, Response.value());
@@ -104,7 +110,9 @@
   http::Request Request{.Method = "POST",
                         .Path = "/v1/cancel",
                         .Body = nlohmann::json{{"id", Id}}.dump()};
-  Result<http::Response> Response = co_await call(std::move(Request), Deadline);
+  Permission Always;
+  Result<http::Response> Response =
+      co_await call(std::move(Request), Deadline, Always);
   if (!Response || Response.value().Status != 200)
     co_return false;
   nlohmann::json Body =
@@ -114,8 +122,9 @@
 
 asio::awaitable<Result<ServerStatus>> ServerPool::status(TimePoint Deadline) {
   http::Request Request{.Method = "GET", .Path = "/v1/status"};
+  Permission Always;
   Result<http::Response> Response =
-      co_await call(std::move(Request), Deadline);
+      co_await call(std::move(Request), Deadline, Always);
   if (!Response)
     co_return boost::outcome_v2::failure(Response.error());
   co_return decodeStatus(Response.value());
--- a/packages/backend/src/backend/pool/ServerPool.h
+++ b/packages/backend/src/backend/pool/ServerPool.h
@@ -13,6 +13,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -41,6 +42,8 @@
 /// its part of the server's limit. Used by one thread.
 class ServerPool {
 public:
+  using Permission = std::function<bool()>;
+
   ServerPool(boost::asio::any_io_executor Executor, ServerPoolOptions Options);
   ~ServerPool();
   ServerPool(const ServerPool &) = delete;
@@ -51,7 +54,10 @@
 
   /// @brief Sends one subrequest and waits for its answer or its deadline.
   /// With all connections in use it is SearchNotSent at once.
-  boost::asio::awaitable<SearchOutcome> search(SearchRequest Search);
+  /// @param MaySend Asked once connected, right before the first byte;
+  /// when it says no, the outcome is SearchNotSent.
+  boost::asio::awaitable<SearchOutcome> search(SearchRequest Search,
+                                               Permission MaySend = {});
 
   /// @brief Asks the server to give a subrequest up.
   /// @return Whether the server promised that it has not run and never will.
@@ -78,8 +84,8 @@
   Lease lease();
   void giveBack(std::unique_ptr<http::Connection> Connection);
   void dropIdle();
-  boost::asio::awaitable<Result<http::Response>> call(http::Request Request,
-                                                      TimePoint Deadline);
+  boost::asio::awaitable<Result<http::Response>>
+  call(http::Request Request, TimePoint Deadline, const Permission &MaySend);
 
   boost::asio::any_io_executor m_Executor;
   ServerPoolOptions m_Options;
--- a/packages/coordination/src/coordination/queue/OwnerQueues.cpp
+++ b/packages/coordination/src/coordination/queue/OwnerQueues.cpp
@@ -1,10 +1,34 @@
 #include "coordination/queue/OwnerQueues.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace carawaypond {
 
+namespace {
+
+constexpr Duration NeverHedge = std::chrono::hours(24);
+
+void add(QueueCounters &Sum, const QueueCounters &Each) {
+  Sum.Sends += Each.Sends;
+  Sum.Hedges += Each.Hedges;
+  Sum.Retries += Each.Retries;
+  Sum.WrongVersions += Each.WrongVersions;
+  Sum.LateEvents += Each.LateEvents;
+}
+
+ReplicaSetQueueOptions queueOptions(const ServiceQueueOptions &Options) {
+  ReplicaSetQueueOptions Queue{.Replicas = {},
+                               .Classes = Options.Classes,
+                               .HedgeQuantile = Options.HedgeQuantile};
+  if (!Options.Hedge)
+    Queue.MinHedgeDelay = NeverHedge;
+  return Queue;
+}
+
+} // namespace
+
 std::optional<TimePoint> OwnerQueues::nextWake() const {
   if (m_Wakes.empty())
     return std::nullopt;
@@ -23,14 +47,14 @@
 
 QueueCounters OwnerQueues::counters() const {
   QueueCounters Sum;
-  for (const auto &[Key, Owned] : m_Queues) {
-    const QueueCounters &Each = Owned->Queue.counters();
-    Sum.Sends += Each.Sends;
-    Sum.Hedges += Each.Hedges;
-    Sum.Retries += Each.Retries;
-    Sum.WrongVersions += Each.WrongVersions;
-    Sum.LateEvents += Each.LateEvents;
-  }
+  for (const auto &[Key, Owned] : m_Queues)
+    add(Sum, Owned->Queue.counters());
+  return Sum;
+}
+
+QueueCounters OwnerQueues::totals() const {
+  QueueCounters Sum = m_Dropped;
+  add(Sum, counters());
   return Sum;
 }
 
@@ -69,19 +93,16 @@
   std::unique_ptr<OwnedQueue> &Owned = m_Queues[{
       Request.Service, Request.Layout, Request.Shard, Request.Replica}];
   if (!Owned)
-    Owned = std::make_unique<OwnedQueue>(OwnedQueue{
-        .Queue =
-            ReplicaSetQueue({.Replicas = {},
-                             .Classes = Service.Options.Classes,
-                             .HedgeQuantile = Service.Options.HedgeQuantile},
-                            {.Slots = m_Slots,
-                             .Scores = m_Scores,
-                             .Attempts = m_AttemptIds,
-                             .Budget = Service.Budget,
-                             .Latencies = Service.Latencies,
-                             .Versions = *Service.Versions}),
-        .Replicas = {},
-        .WakeAt = std::nullopt});
+    Owned = std::make_unique<OwnedQueue>(
+        OwnedQueue{.Queue = ReplicaSetQueue(queueOptions(Service.Options),
+                                            {.Slots = m_Slots,
+                                             .Scores = m_Scores,
+                                             .Attempts = m_AttemptIds,
+                                             .Budget = Service.Budget,
+                                             .Latencies = Service.Latencies,
+                                             .Versions = *Service.Versions}),
+                   .Replicas = {},
+                   .WakeAt = std::nullopt});
   return *Owned;
 }
 
@@ -115,10 +136,22 @@
     if (!IsOld || !Owned->Queue.idle())
       return false;
     stopListening(*Owned);
+    add(m_Dropped, Owned->Queue.counters());
     return true;
   });
 }
 
+bool OwnerQueues::remove(const ServiceName &Service) {
+  dropLayoutsBelow(Service, std::numeric_limits<std::uint64_t>::max());
+  bool IsInUse =
+      std::any_of(m_Queues.begin(), m_Queues.end(), [&](const auto &Each) {
+        return std::get<ServiceName>(Each.first) == Service;
+      });
+  if (!IsInUse)
+    m_Services.erase(Service);
+  return !IsInUse;
+}
+
 /// Keeps the books about a queue's actions, and hands them on.
 void OwnerQueues::take(OwnedQueue &From, QueueActions Actions,
                        QueueActions &Out) {
--- a/packages/coordination/src/coordination/queue/OwnerQueues.h
+++ b/packages/coordination/src/coordination/queue/OwnerQueues.h
@@ -18,6 +18,7 @@
   std::vector<ClassShare> Classes;
   ExtraLoadOptions ExtraLoad;
   double HedgeQuantile = 0.95;
+  bool Hedge = true; ///< False: a straggler is waited for.
 };
 
 /// @brief All queues that this VM owns, over one account of the backend
@@ -36,6 +37,8 @@
                                       TimePoint Now) const;
   /// @return The sums over the queues that exist.
   [[nodiscard]] QueueCounters counters() const;
+  /// @return The sums over all queues so far.
+  [[nodiscard]] QueueCounters totals() const;
 
   /// @brief Says how a service's queues behave; queues that exist keep their
   /// shares and quantile, and take the new budget.
@@ -44,6 +47,10 @@
                  VersionBoard &Versions);
   /// @brief Drops the idle queues of a service's layouts below @p Oldest.
   void dropLayoutsBelow(const ServiceName &Service, std::uint64_t Oldest);
+  /// @brief Drops a service's idle queues, and forgets the service with the
+  /// last of them.
+  /// @return Whether nothing refers to the service's VersionBoard any more.
+  [[nodiscard]] bool remove(const ServiceName &Service);
   void setSlots(const ServerName &Server, std::uint32_t Slots);
   [[nodiscard]] QueueActions setState(const ServerName &Server,
                                       ServerState State, TimePoint Now);
@@ -102,6 +109,7 @@
   SerialIds<AttemptId> m_AttemptIds;
   std::map<ServiceName, std::unique_ptr<ServiceState>> m_Services;
   std::map<QueueKey, std::unique_ptr<OwnedQueue>> m_Queues;
+  QueueCounters m_Dropped; ///< Of queues that are gone.
   std::unordered_map<ServerName, std::vector<OwnedQueue *>> m_ByServer;
   std::unordered_map<AttemptId, AttemptPlace> m_ByAttempt;
   std::unordered_map<SubrequestId, OwnedQueue *> m_BySubrequest;
--- a/packages/coordination/test/coordination/queue/OwnerQueuesTest.cpp
+++ b/packages/coordination/test/coordination/queue/OwnerQueuesTest.cpp
@@ -71,6 +71,19 @@
 
 } // namespace
 
+TEST_CASE_FIXTURE(Fixture, "a service is forgotten once its queues are idle") {
+  note(Queues.enqueue(request(1, 0), Servers, Start));
+  CHECK_FALSE(Queues.remove(Service));
+  note(Queues.onAnswered(takeRunning(0), answer(), Start));
+  std::uint64_t Sent = Queues.totals().Sends;
+  CHECK(Queues.remove(Service));
+  CHECK(Queues.counters().Sends == 0);
+  CHECK(Queues.totals().Sends == Sent);
+  note(Queues.enqueue(request(2, 0), Servers, Start));
+  CHECK(Running.empty());
+  CHECK(Completed[SubrequestId(2)] == 1);
+}
+
 TEST_CASE_FIXTURE(Fixture, "queues of other shards get a slot that is freed") {
   for (std::uint64_t I = 0; I < 5; ++I)
     note(Queues.enqueue(request(I, static_cast<std::uint32_t>(I)), Servers,
--- a/packages/daemon/src/daemon/control/OperatorApi.cpp
+++ b/packages/daemon/src/daemon/control/OperatorApi.cpp
@@ -231,10 +231,10 @@
   std::string Id = Request.queryParameter("submission").value_or("");
   if (!Version || !isSubmissionId(Id))
     co_return invalid("?version=N&submission=ID are needed");
-  Submission Wanted{
-      .Id = SubmissionId(Id),
-      .Service = ServiceName(Name),
-      .Change = DeleteService{.Version = ConfigVersion(*Version)}};
+  Submission Wanted{.Id = SubmissionId(Id),
+                    .Service = ServiceName(Name),
+                    .Change =
+                        DeleteService{.Version = ConfigVersion(*Version)}};
   co_return co_await submit(std::move(Wanted), 200);
 }
 
--- a/packages/daemon/src/daemon/traffic/BackendFleet.cpp
+++ b/packages/daemon/src/daemon/traffic/BackendFleet.cpp
@@ -34,8 +34,10 @@
 
 } // namespace
 
-BackendFleet::BackendFleet(TrafficContext &Context, StateChange OnChange)
-    : m_Context(Context), m_OnChange(std::move(OnChange)) {}
+BackendFleet::BackendFleet(TrafficContext &Context, StateChange OnState,
+                           SlotsChange OnSlots)
+    : m_Context(Context), m_OnState(std::move(OnState)),
+      m_OnSlots(std::move(OnSlots)) {}
 
 ServerState BackendFleet::stateOf(const ServerName &Server) const {
   auto Found = m_Servers.find(Server);
@@ -68,6 +70,7 @@
       continue;
     }
     m_OpenedByRemoved += It->second.Pool->stats().Opened;
+    m_OnState(It->first, ServerState::Down);
     It = m_Servers.erase(It);
   }
 }
@@ -88,24 +91,41 @@
                                    .MaxConnections = Cap});
   }
   Server.Pool->setMaxConnections(Cap);
-  m_Slots.setSlots(Info.Name, std::min(Info.Slots, Cap));
+  setSlots(Info.Name, Server, std::min(Info.Slots, Cap));
+  if (IsMoved)
+    Server.SaidLeaving = false;
   bool IsLeaving = Info.Leaving || Server.SaidLeaving ||
                    View.LeavingServers.contains(Info.Name);
   if (IsLeaving)
     setState(Info.Name, ServerState::Leaving);
   else if (Server.State == ServerState::Leaving)
     setState(Info.Name, ServerState::Up);
+  if (Server.State != ServerState::Up)
+    m_OnState(Info.Name, Server.State); // Services may be new.
+}
+
+void BackendFleet::setSlots(const ServerName &Server, Entry &Kept,
+                            std::uint32_t Slots) {
+  if (Kept.Slots == Slots)
+    return;
+  Kept.Slots = Slots;
+  m_OnSlots(Server, Slots);
+  m_OnState(Server, Kept.State);
 }
 
 void BackendFleet::setState(const ServerName &Server, ServerState State) {
   auto Found = m_Servers.find(Server);
   if (Found == m_Servers.end())
     return;
-  m_Slots.setState(Server, State);
   if (Found->second.State == State)
     return;
   Found->second.State = State;
-  m_OnChange(Server, State);
+  m_OnState(Server, State);
+}
+
+bool BackendFleet::maySend(const ServerName &Server) const {
+  return m_Context.Views.maySend(monotonicNow()) &&
+         stateOf(Server) != ServerState::Leaving;
 }
 
 void BackendFleet::noteDraining(const ServerName &Server, bool Draining) {
@@ -161,7 +181,11 @@
         Error{.Code = ErrorCode::Unavailable,
               .Message = "server \"" + Server.value() + "\" is not known"}};
   std::shared_ptr<backend::ServerPool> Pool = Found->second.Pool;
-  backend::SearchOutcome Outcome = co_await Pool->search(std::move(Search));
+  backend::ServerPool::Permission MaySend = [this, Server] {
+    return maySend(Server);
+  };
+  backend::SearchOutcome Outcome =
+      co_await Pool->search(std::move(Search), std::move(MaySend));
   noteOutcome(Server, Outcome);
   co_return Outcome;
 }
--- a/packages/daemon/src/daemon/traffic/OwnerRunner.cpp
+++ b/packages/daemon/src/daemon/traffic/OwnerRunner.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-constexpr Duration NeverHedge = std::chrono::hours(24);
+/// How long an expected wait is used before it is taken again.
+constexpr Milliseconds WaitSampleLifetime{5};
 /// How long past its deadline an attempt's answer is still read, so that its
 /// connection can be used again.
 constexpr Milliseconds AnswerGrace{50};
@@ -26,16 +27,26 @@
            .Newest = *Refused.Newest}};
 }
 
+/// @return The replicas of the request's shard in its layout, or nullptr.
+const ShardReplicas *findShard(const IndexObject &Index,
+                               const Subrequest &Request) {
+  const IndexLayout *Layout = Index.findLayout(Request.Layout);
+  if (!Layout)
+    return nullptr;
+  auto Found = std::find_if(
+      Layout->Shards.begin(), Layout->Shards.end(),
+      [&](const ShardReplicas &S) { return S.Shard == Request.Shard; });
+  return Found == Layout->Shards.end() ? nullptr : &*Found;
+}
+
 } // namespace
 
 /// @brief Performs one decision of a queue.
 struct OwnerRunner::ActionVisitor {
   OwnerRunner &Runner;
-  const QueuePointer &Queue;
 
   void operator()(SendAttempt &Send) const {
-    Runner.m_Context.Collected.count("subrequests_sent_total");
-    asio::co_spawn(Runner.m_Context.Io, Runner.run(Queue, std::move(Send)),
+    asio::co_spawn(Runner.m_Context.Io, Runner.run(std::move(Send)),
                    asio::detached);
   }
   void operator()(CancelAttempt &Cancel) const {
@@ -46,9 +57,9 @@
   }
 };
 
-/// @brief Reports the end of one attempt to its queue.
+/// @brief Reports the end of one attempt to the queues.
 struct OwnerRunner::OutcomeVisitor {
-  ReplicaSetQueue &Queue;
+  OwnerQueues &Queues;
   const SendAttempt &Send;
   VersionBoard &Board;
   TimePoint Now;
@@ -59,46 +70,47 @@
                         .Newest = Answer.Newest};
     Board.noteAnswer(Send.Server, Send.Request.Shard, Served, Now);
     auto Payload = std::make_shared<const std::string>(Answer.Records);
-    return Queue.onAnswered(Send.Attempt,
-                            {.Version = Answer.Version,
-                             .Layout = Answer.Layout,
-                             .Payload = std::move(Payload)},
-                            Now);
+    return Queues.onAnswered(Send.Attempt,
+                             {.Version = Answer.Version,
+                              .Layout = Answer.Layout,
+                              .Payload = std::move(Payload)},
+                             Now);
   }
   QueueActions operator()(const backend::SearchRefused &Refused) const {
     SubReason Reason = reasonOfWord(Refused.Reason).value_or(SubReason::Shed);
-    return Queue.onRefused(Send.Attempt,
-                           {.Reason = Reason,
-                            .Ran = false,
-                            .Served = servedRange(Send.Request, Refused)},
-                           Now);
+    return Queues.onRefused(Send.Attempt,
+                            {.Reason = Reason,
+                             .Ran = false,
+                             .Served = servedRange(Send.Request, Refused)},
+                            Now);
   }
   QueueActions operator()(const backend::SearchFailed &) const {
-    return Queue.onRefused(Send.Attempt,
-                           {.Reason = SubReason::Failed, .Ran = true}, Now);
+    return Queues.onRefused(Send.Attempt,
+                            {.Reason = SubReason::Failed, .Ran = true}, Now);
   }
   QueueActions operator()(const backend::SearchInDoubt &) const {
-    return Queue.onLost(Send.Attempt, Now);
+    return Queues.onLost(Send.Attempt, Now);
   }
   QueueActions operator()(const backend::SearchNotSent &) const {
-    return Queue.onRefused(
+    return Queues.onRefused(
         Send.Attempt, {.Reason = SubReason::NotConnected, .Ran = false}, Now);
   }
 };
 
 OwnerRunner::OwnerRunner(TrafficContext &Context, ServiceTable &Services,
                          BackendFleet &Fleet)
-    : m_Context(Context), m_Services(Services), m_Fleet(Fleet) {}
+    : m_Context(Context), m_Services(Services), m_Fleet(Fleet),
+      m_Timer(Context.Io) {}
 
 Duration OwnerRunner::expectedWait(const ServiceName &Service,
-                                   const ClassName &Class,
-                                   TimePoint Now) const {
-  Duration Longest{0};
-  QueueKey First{.Service = Service};
-  for (auto It = m_Queues.lower_bound(First);
-       It != m_Queues.end() && It->first.Service == Service; ++It)
-    Longest = std::max(Longest, It->second->Queue.expectedWait(Class, Now));
-  return Longest;
+                                   const ClassName &Class, TimePoint Now) {
+  auto Served = m_Served.find(Service);
+  if (Served == m_Served.end())
+    return Duration::zero();
+  WaitSample &Sample = Served->second.Waits[Class];
+  if (Now - Sample.At >= WaitSampleLifetime)
+    Sample = {.At = Now, .Wait = m_Queues.expectedWait(Service, Class, Now)};
+  return Sample.Wait;
 }
 
 std::string OwnerRunner::wireId(AttemptId Attempt) const {
@@ -107,150 +119,98 @@
          std::to_string(Attempt.value());
 }
 
-OwnerRunner::QueuePointer OwnerRunner::queueFor(const Subrequest &Request) {
-  QueueKey Key{.Service = Request.Service,
-               .Layout = Request.Layout,
-               .Shard = Request.Shard,
-               .Replica = Request.Replica};
-  auto Found = m_Queues.find(Key);
-  if (Found != m_Queues.end())
-    return Found->second;
-  std::shared_ptr<ServiceRuntime> Service = m_Services.find(Request.Service);
-  if (!Service)
-    return nullptr;
-  const IndexLayout *Layout = Service->index().findLayout(Request.Layout);
-  if (!Layout)
-    return nullptr;
-  auto Shard = std::find_if(
-      Layout->Shards.begin(), Layout->Shards.end(),
-      [&](const ShardReplicas &S) { return S.Shard == Request.Shard; });
-  if (Shard == Layout->Shards.end())
-    return nullptr;
-  std::vector<ServerName> Replicas = Shard->Replicas;
-  if (Request.Replica)
-    Replicas = {*Request.Replica};
-  return makeQueue(Key, std::move(Service), std::move(Replicas));
-}
-
-OwnerRunner::QueuePointer
-OwnerRunner::makeQueue(const QueueKey &Key,
-                       std::shared_ptr<ServiceRuntime> Service,
-                       std::vector<ServerName> Replicas) {
-  ReplicaSetQueueOptions Options{.Replicas = Replicas,
-                                 .Classes = Service->shares(),
-                                 .HedgeQuantile =
-                                     Service->config().HedgeQuantile};
-  if (!m_Context.Config.Policy.Hedge)
-    Options.MinHedgeDelay = NeverHedge;
-  QueueResources Resources{.Slots = m_Fleet.slots(),
-                           .Scores = m_Fleet.scores(),
-                           .Attempts = m_Attempts,
-                           .Budget = Service->ownerBudget(),
-                           .Latencies = Service->latencies(),
-                           .Versions = Service->pinner().board()};
-  QueuePointer Made(
-      new OwnedQueue{.Key = Key,
-                     .Service = std::move(Service),
-                     .Replicas = std::move(Replicas),
-                     .Queue = ReplicaSetQueue(std::move(Options), Resources),
-                     .Timer = asio::steady_timer(m_Context.Io)});
-  m_Queues.emplace(Key, Made);
-  for (const ServerName &Server : Made->Replicas)
-    m_ByServer.emplace(Server, Made);
-  return Made;
-}
-
 void OwnerRunner::enqueue(Subrequest Request, Completion Done) {
-  QueuePointer Queue = queueFor(Request);
-  if (!Queue) {
+  auto Served = m_Served.find(Request.Service);
+  if (Served == m_Served.end()) {
+    Done(SubNotRun{.Reason = SubReason::NoOwner});
+    return;
+  }
+  const ShardReplicas *Shard =
+      findShard(Served->second.Runtime->index(), Request);
+  if (!Shard) {
     Done(SubNotRun{.Reason = SubReason::WrongLayout});
     return;
   }
-  m_Pending.emplace(Request.Id,
-                    Pending{.Done = std::move(Done), .Queue = Queue});
-  perform(Queue, Queue->Queue.enqueue(std::move(Request), monotonicNow()));
+  m_Pending.emplace(Request.Id, std::move(Done));
+  perform(
+      m_Queues.enqueue(std::move(Request), Shard->Replicas, monotonicNow()));
 }
 
 void OwnerRunner::cancel(SubrequestId Id) {
-  auto Found = m_Pending.find(Id);
-  if (Found == m_Pending.end())
-    return;
-  QueuePointer Queue = Found->second.Queue.lock();
-  if (Queue)
-    perform(Queue, Queue->Queue.cancel(Id, monotonicNow()));
+  perform(m_Queues.cancel(Id, monotonicNow()));
 }
 
-void OwnerRunner::onServerChanged(const ServerName &Server) {
-  auto [First, Last] = m_ByServer.equal_range(Server);
-  std::vector<QueuePointer> Affected;
-  for (auto It = First; It != Last; ++It)
-    if (QueuePointer Queue = It->second.lock())
-      Affected.push_back(std::move(Queue));
-  for (const QueuePointer &Queue : Affected)
-    perform(Queue, Queue->Queue.onServersChanged(monotonicNow()));
+void OwnerRunner::setSlots(const ServerName &Server, std::uint32_t Slots) {
+  m_Queues.setSlots(Server, Slots);
 }
 
-void OwnerRunner::dropUnused() {
-  std::erase_if(m_Queues, [&](const auto &Row) {
-    const OwnedQueue &Queue = *Row.second;
-    bool IsBusy = Queue.Queue.waiting() > 0 || Queue.Queue.nextWake();
-    bool IsKnown = m_Services.find(Queue.Key.Service) == Queue.Service &&
-                   Queue.Service->index().findLayout(Queue.Key.Layout);
-    return !IsBusy && !IsKnown;
+void OwnerRunner::setState(const ServerName &Server, ServerState State) {
+  perform(m_Queues.setState(Server, State, monotonicNow()));
+}
+
+void OwnerRunner::followServices() {
+  std::erase_if(m_Served, [&](const auto &Row) {
+    bool IsCurrent = m_Services.find(Row.first) == Row.second.Runtime;
+    return !IsCurrent && m_Queues.remove(Row.first);
   });
-  std::erase_if(m_ByServer,
-                [](const auto &Row) { return Row.second.expired(); });
+  for (const auto &[Name, Runtime] : m_Services.all()) {
+    ServedService &Served = m_Served[Name];
+    if (!Served.Runtime)
+      Served.Runtime = Runtime;
+    if (Served.Runtime != Runtime)
+      continue; // Its predecessor of the same name still has work.
+    m_Queues.configure(Name, Runtime->queueOptions(m_Context.Config.Policy),
+                       Runtime->pinner().board());
+    const std::vector<IndexLayout> &Layouts = Runtime->index().Layouts;
+    if (!Layouts.empty())
+      m_Queues.dropLayoutsBelow(Name, Layouts.front().Layout);
+  }
+}
+
+void OwnerRunner::countAll() {
+  QueueCounters Counted = m_Queues.totals();
+  Metrics &Collected = m_Context.Collected;
+  Collected.set("subrequests_sent_total", Counted.Sends);
+  Collected.set("hedges_total", Counted.Hedges);
+  Collected.set("retries_total", Counted.Retries);
+  Collected.set("wrong_version_answers_total", Counted.WrongVersions);
+  Collected.set("late_answers_total", Counted.LateEvents);
 }
 
-void OwnerRunner::perform(const QueuePointer &Queue, QueueActions Actions) {
+void OwnerRunner::perform(QueueActions Actions) {
   for (QueueAction &Action : Actions)
-    std::visit(ActionVisitor{*this, Queue}, Action);
-  countNew(*Queue);
-  arm(Queue);
+    std::visit(ActionVisitor{*this}, Action);
+  arm();
 }
 
-void OwnerRunner::arm(const QueuePointer &Queue) {
-  std::optional<TimePoint> Wake = Queue->Queue.nextWake();
-  if (!Wake) {
-    Queue->Timer.expires_at(TimePoint::min());
+void OwnerRunner::arm() {
+  std::optional<TimePoint> Wake = m_Queues.nextWake();
+  if (Wake == m_WakeAt)
     return;
-  }
-  if (Queue->Timer.expiry() == *Wake)
+  // A wake-up that comes early does no harm; a later one is armed by it.
+  bool IsArmedBefore = Wake && m_WakeAt && *m_WakeAt <= *Wake;
+  if (!Wake || IsArmedBefore)
     return;
-  Queue->Timer.expires_at(*Wake);
-  Queue->Timer.async_wait(
-      [this, Weak = std::weak_ptr(Queue)](boost::system::error_code Failed) {
-        QueuePointer Woken = Weak.lock();
-        if (Failed || !Woken)
-          return;
-        Woken->Timer.expires_at(TimePoint::min());
-        perform(Woken, Woken->Queue.tick(monotonicNow()));
-      });
-}
-
-void OwnerRunner::tickSharing(const ServerName &Server,
-                              const OwnedQueue *Except) {
-  auto [First, Last] = m_ByServer.equal_range(Server);
-  std::vector<QueuePointer> Waiting;
-  for (auto It = First; It != Last; ++It) {
-    QueuePointer Queue = It->second.lock();
-    if (Queue && Queue.get() != Except && Queue->Queue.waiting() > 0)
-      Waiting.push_back(std::move(Queue));
-  }
-  for (const QueuePointer &Queue : Waiting)
-    perform(Queue, Queue->Queue.tick(monotonicNow()));
+  m_WakeAt = Wake;
+  m_Timer.expires_at(*Wake);
+  m_Timer.async_wait([this](boost::system::error_code Failed) {
+    if (Failed)
+      return;
+    m_WakeAt.reset();
+    perform(m_Queues.tick(monotonicNow()));
+  });
 }
 
 void OwnerRunner::complete(SubrequestId Id, SubOutcome Outcome) {
   auto Found = m_Pending.find(Id);
   if (Found == m_Pending.end())
     return;
-  Completion Done = std::move(Found->second.Done);
+  Completion Done = std::move(Found->second);
   m_Pending.erase(Found);
   Done(std::move(Outcome));
 }
 
-asio::awaitable<void> OwnerRunner::run(QueuePointer Queue, SendAttempt Send) {
+asio::awaitable<void> OwnerRunner::run(SendAttempt Send) {
   TimePoint Now = monotonicNow();
   const Subrequest &Request = Send.Request;
   backend::SearchRequest Search{.Id = wireId(Send.Attempt),
@@ -263,38 +223,21 @@
                                 .Deadline = Request.Deadline + AnswerGrace,
                                 .Repeatable = Request.Repeatable,
                                 .Request = *Request.Request};
-  Queue->Queue.onStarted(Send.Attempt, Now);
+  m_Queues.onStarted(Send.Attempt, Now);
   backend::SearchOutcome Outcome =
       co_await m_Fleet.search(Send.Server, std::move(Search));
-  finishAttempt(Queue, Send, Outcome);
+  finishAttempt(Send, Outcome);
 }
 
-void OwnerRunner::finishAttempt(const QueuePointer &Queue,
-                                const SendAttempt &Send,
+void OwnerRunner::finishAttempt(const SendAttempt &Send,
                                 const backend::SearchOutcome &Outcome) {
-  OutcomeVisitor Report{.Queue = Queue->Queue,
+  // The queues keep the service until the last of its attempts has ended.
+  ServedService &Served = m_Served.at(Send.Request.Service);
+  OutcomeVisitor Report{.Queues = m_Queues,
                         .Send = Send,
-                        .Board = Queue->Service->pinner().board(),
+                        .Board = Served.Runtime->pinner().board(),
                         .Now = monotonicNow()};
-  perform(Queue, std::visit(Report, Outcome));
-  tickSharing(Send.Server, Queue.get());
-}
-
-void OwnerRunner::countNew(OwnedQueue &Queue) {
-  const QueueCounters &Now = Queue.Queue.counters();
-  QueueCounters &Told = Queue.Counted;
-  Metrics &Collected = m_Context.Collected;
-  auto CountGrowth = [&](std::string_view Name, std::uint64_t Is,
-                         std::uint64_t &Was) {
-    if (Is > Was)
-      Collected.count(Name, Is - Was);
-    Was = Is;
-  };
-  CountGrowth("hedges_total", Now.Hedges, Told.Hedges);
-  CountGrowth("retries_total", Now.Retries, Told.Retries);
-  CountGrowth("wrong_version_answers_total", Now.WrongVersions,
-              Told.WrongVersions);
-  CountGrowth("late_answers_total", Now.LateEvents, Told.LateEvents);
+  perform(std::visit(Report, Outcome));
 }
 
 } // namespace carawaypond::daemon
--- a/packages/daemon/src/daemon/traffic/OwnerRunner.h
+++ b/packages/daemon/src/daemon/traffic/OwnerRunner.h
@@ -1,22 +1,25 @@
 #pragma once
 
-#include "coordination/queue/QueueActions.h"
+#include "backend/search/SearchOutcome.h"
+#include "coordination/queue/OwnerQueues.h"
 #include "coordination/subrequest/SubOutcome.h"
 #include "coordination/subrequest/Subrequest.h"
 #include "daemon/traffic/BackendFleet.h"
-#include "daemon/traffic/OwnedQueue.h"
 #include "daemon/traffic/ServiceTable.h"
 #include "daemon/traffic/TrafficContext.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace carawaypond::daemon {
 
-/// @brief Runs the queues of the replica sets that this VM sends to: performs
-/// what they decide, and reports what became of it.
+/// @brief Performs what the queues of this VM's replica sets decide, and
+/// reports to them what became of it.
 class OwnerRunner {
 public:
   /// Takes a subrequest's outcome, once.
@@ -26,52 +29,57 @@
               BackendFleet &Fleet);
 
   /// @return The longest wait that a subrequest for any of the service's
-  /// queues here would have.
+  /// queues here would have; a few milliseconds old at most.
   [[nodiscard]] Duration expectedWait(const ServiceName &Service,
-                                      const ClassName &Class,
-                                      TimePoint Now) const;
-  /// @return The layouts' queues that exist now, for the operators' page.
-  [[nodiscard]] std::size_t queueCount() const { return m_Queues.size(); }
+                                      const ClassName &Class, TimePoint Now);
 
   /// @brief Queues a subrequest, whose id must be new.
   void enqueue(Subrequest Request, Completion Done);
   /// @brief The coordinator no longer wants the answer.
   void cancel(SubrequestId Id);
+  /// @brief This VM's part of a server's slots has changed. Call setState()
+  /// afterwards.
+  void setSlots(const ServerName &Server, std::uint32_t Slots);
   /// @brief A server may or may no longer get work.
-  void onServerChanged(const ServerName &Server);
-  /// @brief Drops queues of services and layouts that are gone.
-  void dropUnused();
+  void setState(const ServerName &Server, ServerState State);
+  /// @brief Follows the table of services, and drops the queues of services
+  /// and layouts that are gone.
+  void followServices();
+  /// @brief Tells the metrics what the queues have counted.
+  void countAll();
 
 private:
-  using QueuePointer = std::shared_ptr<OwnedQueue>;
+  using ServicePointer = std::shared_ptr<ServiceRuntime>;
   struct ActionVisitor;
   struct OutcomeVisitor;
-  struct Pending {
-    Completion Done;
-    std::weak_ptr<OwnedQueue> Queue;
+
+  struct WaitSample {
+    TimePoint At{};
+    Duration Wait{};
+  };
+
+  struct ServedService {
+    ServicePointer Runtime;
+    std::map<ClassName, WaitSample> Waits;
   };
 
-  [[nodiscard]] QueuePointer queueFor(const Subrequest &Request);
-  QueuePointer makeQueue(const QueueKey &Key,
-                         std::shared_ptr<ServiceRuntime> Service,
-                         std::vector<ServerName> Replicas);
-  void perform(const QueuePointer &Queue, QueueActions Actions);
-  void arm(const QueuePointer &Queue);
-  void tickSharing(const ServerName &Server, const OwnedQueue *Except);
+  void perform(QueueActions Actions);
+  void arm();
   void complete(SubrequestId Id, SubOutcome Outcome);
-  boost::asio::awaitable<void> run(QueuePointer Queue, SendAttempt Send);
-  void finishAttempt(const QueuePointer &Queue, const SendAttempt &Send,
+  boost::asio::awaitable<void> run(SendAttempt Send);
+  void finishAttempt(const SendAttempt &Send,
                      const backend::SearchOutcome &Outcome);
-  void countNew(OwnedQueue &Queue);
   [[nodiscard]] std::string wireId(AttemptId Attempt) const;
 
   TrafficContext &m_Context;
   ServiceTable &m_Services;
   BackendFleet &m_Fleet;
-  SerialIds<AttemptId> m_Attempts;
-  std::map<QueueKey, QueuePointer> m_Queues;
-  std::multimap<ServerName, std::weak_ptr<OwnedQueue>> m_ByServer;
-  std::unordered_map<SubrequestId, Pending> m_Pending;
+  /// The services that the queues refer to, which outlive the queues.
+  std::map<ServiceName, ServedService> m_Served;
+  OwnerQueues m_Queues;
+  boost::asio::steady_timer m_Timer;
+  std::optional<TimePoint> m_WakeAt;
+  std::unordered_map<SubrequestId, Completion> m_Pending;
 };
 
 } // namespace carawaypond::daemon
--- a/packages/daemon/src/daemon/traffic/QueryDriver.cpp
+++ b/packages/daemon/src/daemon/traffic/QueryDriver.cpp
@@ -3,15 +3,43 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace carawaypond::daemon {
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// An owner that reports within this time is never called silent.
+constexpr Duration MinOwnerSilence = Milliseconds(40);
+constexpr double SilenceQuantile = 0.99;
+/// How long before the caller's deadline an owner must end, so that its report
+/// is heard in time; of a short deadline, this part.
+constexpr Duration ReportMargin = Milliseconds(4);
+constexpr int ReportMarginPart = 10;
+
+/// A busy owner's reports take longer, since subrequests wait for slots there.
+Duration ownerSilence(ServiceRuntime &Service, const ClassName &Class) {
+  return std::max(MinOwnerSilence,
+                  Service.forwarded()
+                      .quantile(Class, SilenceQuantile, monotonicNow())
+                      .value_or(MinOwnerSilence));
+}
+
+TimePoint ownerDeadline(TimePoint Deadline) {
+  Duration Left = std::max(Deadline - monotonicNow(), Duration::zero());
+  return Deadline - std::min(ReportMargin, Left / ReportMarginPart);
+}
+
+} // namespace
+
 /// @brief Performs one decision of the query.
 struct QueryDriver::ActionVisitor {
   QueryDriver &Driver;
 
   void operator()(SendSubrequest &Send) const {
+    Send.Request.Deadline = ownerDeadline(Send.Request.Deadline);
     if (Send.Owner == Driver.m_Resources.Context.Config.Vm)
       Driver.sendLocal(std::move(Send.Request));
     else
@@ -32,12 +60,13 @@
 
 QueryDriver::QueryDriver(Query Asked, QueryDriverResources Resources)
     : m_Resources(std::move(Resources)),
+      m_Silence(ownerSilence(*m_Resources.Service, Asked.Class)),
       m_Run(std::move(Asked),
             {.Pinner = m_Resources.Service->pinner(),
              .Routes = m_Resources.Routes,
              .Budget = m_Resources.Service->coordinatorBudget(),
              .Ids = m_Resources.Context.Ids},
-            {}),
+            {.OwnerSilence = m_Silence}),
       m_Timer(m_Resources.Context.Io) {}
 
 asio::awaitable<QueryResult> QueryDriver::run() {
--- a/packages/daemon/src/daemon/traffic/QueryDriver.h
+++ b/packages/daemon/src/daemon/traffic/QueryDriver.h
@@ -50,6 +50,7 @@
   void onOwnerLost(SubrequestId Id, bool MaySent);
 
   QueryDriverResources m_Resources;
+  Duration m_Silence; ///< Then an owner counts as silent.
   QueryRun m_Run;
   boost::asio::steady_timer m_Timer;
   std::optional<QueryResult> m_Result;
--- a/packages/daemon/src/daemon/traffic/RemoteOwners.cpp
+++ b/packages/daemon/src/daemon/traffic/RemoteOwners.cpp
@@ -17,7 +17,8 @@
 
 /// @brief A batch that is out: what its results are for.
 struct SentBatch {
-  std::map<SubrequestId, std::pair<ServiceName, ShardId>> Parts;
+  std::map<SubrequestId, RemoteOwners::SentPart> Parts;
+  TimePoint SentAt;
   RemoteObserver Observer;
 };
 
@@ -43,13 +44,15 @@
                        std::vector<Subrequest> Batch, RemoteObserver Observer) {
   const VmView *Vm = View.findVm(Owner);
   auto Sent = std::make_shared<SentBatch>();
+  Sent->SentAt = monotonicNow();
   Sent->Observer = std::move(Observer);
   std::vector<peer::PeerSubrequest> Encoded;
-  TimePoint Now = monotonicNow();
   WallMillis WallNow = wallNow();
   for (const Subrequest &Request : Batch) {
-    Sent->Parts.emplace(Request.Id, std::pair(Request.Service, Request.Shard));
-    Encoded.push_back(toPeer(Request, Now, WallNow));
+    Sent->Parts.emplace(Request.Id, SentPart{.Service = Request.Service,
+                                             .Class = Request.Class,
+                                             .Shard = Request.Shard});
+    Encoded.push_back(toPeer(Request, Sent->SentAt, WallNow));
   }
   auto OnLost = [this, Sent](const Error &Failure,
                              const std::vector<SubrequestId> &Ids) {
@@ -74,9 +77,10 @@
       auto Part = Sent->Parts.find(Result.Id);
       if (Part == Sent->Parts.end())
         return;
-      const auto &[Service, Shard] = Part->second;
-      noteServed(Service, Shard, Result);
-      Sent->Observer.OnOutcome(Result.Id, fromPeer(Result, Shard));
+      const SentPart &Asked = Part->second;
+      noteReport(Asked, Sent->SentAt, Result);
+      noteServed(Asked.Service, Asked.Shard, Result);
+      Sent->Observer.OnOutcome(Result.Id, fromPeer(Result, Asked.Shard));
     });
   };
   m_Context.Collected.count("forwarded_batches_total");
@@ -85,6 +89,18 @@
               {.OnResult = OnResult, .OnLost = OnLost});
 }
 
+/// Learns how soon and how busy the owner is.
+void RemoteOwners::noteReport(const SentPart &Asked, TimePoint SentAt,
+                              const peer::PeerResult &Result) {
+  std::shared_ptr<ServiceRuntime> Runtime = m_Services.find(Asked.Service);
+  if (!Runtime)
+    return;
+  TimePoint Now = monotonicNow();
+  Runtime->forwarded().record(Asked.Class, Now - SentAt, Now);
+  if (Result.Wait > Duration::zero())
+    Runtime->admission().noteExpectedWait(Result.Wait, Now);
+}
+
 void RemoteOwners::noteServed(const ServiceName &Service, ShardId Shard,
                               const peer::PeerResult &Result) {
   std::shared_ptr<ServiceRuntime> Runtime = m_Services.find(Service);
@@ -124,6 +140,8 @@
     peer::PeerResult Result = toPeer(Key.second, Outcome);
     if (Result.Outcome == peer::PeerOutcome::Answered)
       addNewestRange(Asked, Result);
+    Result.Wait =
+        m_Owned.expectedWait(Asked.Service, Asked.Class, monotonicNow());
     Sink(std::move(Result));
   };
   m_Owned.enqueue(std::move(Local), std::move(Done));
--- a/packages/daemon/src/daemon/traffic/RemoteOwners.h
+++ b/packages/daemon/src/daemon/traffic/RemoteOwners.h
@@ -32,6 +32,13 @@
 /// and takes over those that others hand to this VM.
 class RemoteOwners {
 public:
+  /// @brief What a subrequest at another VM is for.
+  struct SentPart {
+    ServiceName Service;
+    ClassName Class;
+    ShardId Shard;
+  };
+
   RemoteOwners(TrafficContext &Context, ServiceTable &Services,
                OwnerRunner &Owned);
 
@@ -62,6 +69,8 @@
 
   void serveOne(const peer::PeerIdentity &From, peer::PeerSubrequest Request,
                 const peer::ResultSink &Sink);
+  void noteReport(const SentPart &Asked, TimePoint SentAt,
+                  const peer::PeerResult &Result);
   void noteServed(const ServiceName &Service, ShardId Shard,
                   const peer::PeerResult &Result);
   /// @brief Tells the coordinator which versions the shard's most advanced
--- a/packages/daemon/src/daemon/traffic/ServiceRuntime.cpp
+++ b/packages/daemon/src/daemon/traffic/ServiceRuntime.cpp
@@ -7,11 +7,17 @@
 /// Stands for "no budget" where the policy asks for none.
 constexpr ExtraLoadOptions Unbounded{.Ratio = 1000.0, .Burst = 1e9};
 
+/// A primary subrequest is counted at its coordinator and at its owner, so
+/// that the two parts add up to the service's ratio.
+constexpr double CoordinatorPart = 0.2;
+constexpr double OwnerPart = 1 - CoordinatorPart;
+
 ExtraLoadOptions budgetOf(const ServiceConfig &Config,
-                          const PolicySettings &Policy) {
+                          const PolicySettings &Policy, double Part) {
   if (!Policy.Budget)
     return Unbounded;
-  return {.Ratio = Config.ExtraLoadRatio, .Burst = Config.ExtraLoadBurst};
+  return {.Ratio = Config.ExtraLoadRatio * Part,
+          .Burst = Config.ExtraLoadBurst * Part};
 }
 
 std::vector<ClassShare> sharesOf(const ServiceConfig &Config) {
@@ -36,11 +42,15 @@
                                const PolicySettings &Policy)
     : m_Stored(View.Stored), m_Admission(admissionOf(View.Stored->Content)),
       m_Pinner(indexOf(View)),
-      m_CoordinatorBudget(budgetOf(View.Stored->Content, Policy)),
-      m_OwnerBudget(budgetOf(View.Stored->Content, Policy)) {}
+      m_CoordinatorBudget(
+          budgetOf(View.Stored->Content, Policy, CoordinatorPart)) {}
 
-std::vector<ClassShare> ServiceRuntime::shares() const {
-  return sharesOf(config());
+ServiceQueueOptions
+ServiceRuntime::queueOptions(const PolicySettings &Policy) const {
+  return {.Classes = sharesOf(config()),
+          .ExtraLoad = budgetOf(config(), Policy, OwnerPart),
+          .HedgeQuantile = config().HedgeQuantile,
+          .Hedge = Policy.Hedge};
 }
 
 void ServiceRuntime::apply(const ServiceView &View,
@@ -51,8 +61,7 @@
     return;
   m_Stored = View.Stored;
   m_Admission.reconfigure(admissionOf(config()));
-  m_CoordinatorBudget.reconfigure(budgetOf(config(), Policy));
-  m_OwnerBudget.reconfigure(budgetOf(config(), Policy));
+  m_CoordinatorBudget.reconfigure(budgetOf(config(), Policy, CoordinatorPart));
 }
 
 } // namespace carawaypond::daemon
--- a/packages/daemon/src/daemon/traffic/ServiceRuntime.h
+++ b/packages/daemon/src/daemon/traffic/ServiceRuntime.h
@@ -3,18 +3,17 @@
 #include "coordination/admission/AdmissionControl.h"
 #include "coordination/budget/ExtraLoadBudget.h"
 #include "coordination/latency/LatencyTracker.h"
-#include "coordination/queue/ClassScheduler.h"
+#include "coordination/queue/OwnerQueues.h"
 #include "coordination/snapshot/SnapshotPinner.h"
 #include "daemon/settings/Settings.h"
 #include "daemon/view/ControlView.h"
 
 #include <memory>
-#include <vector>
 
 namespace carawaypond::daemon {
 
 /// @brief What one traffic thread keeps for one service: its admission,
-/// its snapshots, its extra-load budgets and its latencies.
+/// its snapshots, its extra-load budget and other VMs' latencies.
 class ServiceRuntime {
 public:
   ServiceRuntime(const ServiceView &View, const PolicySettings &Policy);
@@ -29,11 +28,11 @@
   [[nodiscard]] ExtraLoadBudget &coordinatorBudget() {
     return m_CoordinatorBudget;
   }
-  /// @brief The budget of the subrequests that this VM sends as an owner.
-  [[nodiscard]] ExtraLoadBudget &ownerBudget() { return m_OwnerBudget; }
-  [[nodiscard]] LatencyTracker &latencies() { return m_Latencies; }
-  /// @return The classes' shares of the slots.
-  [[nodiscard]] std::vector<ClassShare> shares() const;
+  /// @brief How long other VMs take to report on subrequests.
+  [[nodiscard]] LatencyTracker &forwarded() { return m_Forwarded; }
+  /// @return How the queues that this VM owns behave.
+  [[nodiscard]] ServiceQueueOptions
+  queueOptions(const PolicySettings &Policy) const;
 
   /// @brief Follows a new configuration or index.
   void apply(const ServiceView &View, const PolicySettings &Policy);
@@ -43,8 +42,7 @@
   AdmissionControl m_Admission;
   SnapshotPinner m_Pinner;
   ExtraLoadBudget m_CoordinatorBudget;
-  ExtraLoadBudget m_OwnerBudget;
-  LatencyTracker m_Latencies;
+  LatencyTracker m_Forwarded;
 };
 
 } // namespace carawaypond::daemon
--- a/packages/daemon/src/daemon/traffic/TrafficNode.cpp
+++ b/packages/daemon/src/daemon/traffic/TrafficNode.cpp
@@ -35,11 +35,15 @@
                 .Collected = Collected,
                 .OnDrainSign = std::move(Handlers.OnDrainSign)},
       m_Services(Config.Policy),
-      m_Fleet(m_Context,
-              [this](const ServerName &Server, ServerState State) {
-                m_Services.setServerState(Server, State);
-                m_Owned.onServerChanged(Server);
-              }),
+      m_Fleet(
+          m_Context,
+          [this](const ServerName &Server, ServerState State) {
+            m_Services.setServerState(Server, State);
+            m_Owned.setState(Server, State);
+          },
+          [this](const ServerName &Server, std::uint32_t Slots) {
+            m_Owned.setSlots(Server, Slots);
+          }),
       m_Owned(m_Context, m_Services, m_Fleet),
       m_Remote(m_Context, m_Services, m_Owned),
       m_Queries(m_Context, m_Services, m_Owned, m_Remote),
@@ -82,6 +86,7 @@
     return;
   m_Followed = View->Generation;
   m_Services.apply(*View);
+  m_Owned.followServices();
   m_Fleet.apply(*View);
   m_Poller.apply(*View);
   m_Queries.apply(std::move(View));
@@ -134,7 +139,8 @@
   while (true) {
     Timer.expires_after(HousekeepingPeriod);
     co_await Timer.async_wait(asio::use_awaitable);
-    m_Owned.dropUnused();
+    m_Owned.followServices();
+    m_Owned.countAll();
     m_Fleet.closeIdle();
     countListener();
     m_Context.Collected.set("backend_connections_opened_total",
--- a/packages/peer/src/peer/codec/ResultCodec.cpp
+++ b/packages/peer/src/peer/codec/ResultCodec.cpp
@@ -3,6 +3,7 @@
 #include "peer/codec/Bytes.h"
 #include "peer/codec/RangeCodec.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace carawaypond::peer {
@@ -40,6 +41,20 @@
   return PeerOutcome::InDoubt;
 }
 
+using std::chrono::microseconds;
+
+/// A longer wait is reported as this.
+constexpr microseconds MaxWait = std::chrono::seconds(30);
+
+std::uint64_t toMicros(Duration Wait) {
+  Duration Bounded = std::clamp<Duration>(Wait, Duration::zero(), MaxWait);
+  return std::chrono::duration_cast<microseconds>(Bounded).count();
+}
+
+Duration fromMicros(std::uint64_t Micros) {
+  return microseconds(std::min<std::uint64_t>(Micros, MaxWait.count()));
+}
+
 } // namespace
 
 void writeResult(const PeerResult &Result,
@@ -57,6 +72,7 @@
                 Out.initRanges(static_cast<capnp::uint>(Result.Ranges.size())));
   if (Result.Server)
     Out.setServer(toText(Result.Server->value()));
+  Out.setWaitMicros(toMicros(Result.Wait));
 }
 
 PeerResult readResult(wire::SubrequestResult::Reader In) {
@@ -67,7 +83,8 @@
                     .Payload = toString(In.getPayload()),
                     .Reason = toString(In.getReason()),
                     .Ranges = readRanges(In.getRanges()),
-                    .Server = std::nullopt};
+                    .Server = std::nullopt,
+                    .Wait = fromMicros(In.getWaitMicros())};
   std::string Server = toString(In.getServer());
   if (!Server.empty())
     Result.Server = ServerName(std::move(Server));
--- a/packages/peer/src/peer/message/PeerResult.h
+++ b/packages/peer/src/peer/message/PeerResult.h
@@ -2,6 +2,7 @@
 
 #include "coordination/model/IndexObject.h"
 #include "core/id/Ids.h"
+#include "core/time/Time.h"
 
 #include <cstdint>
 #include <optional>
@@ -28,6 +29,7 @@
   std::string Reason{};  ///< A fixed word unless Answered.
   std::vector<VersionRange> Ranges{}; ///< What the replica serves, if known.
   std::optional<ServerName> Server{}; ///< Who answered, if any server did.
+  Duration Wait{}; ///< That a new subrequest of the service would have there.
 
   friend bool operator==(const PeerResult &, const PeerResult &) = default;
 };
--- a/packages/peer/src/peer/schema/Peer.capnp
+++ b/packages/peer/src/peer/schema/Peer.capnp
@@ -54,6 +54,8 @@
   reason @5 :Text;
   ranges @6 :List(VersionRange);
   server @7 :Text;
+  waitMicros @8 :UInt64;
+  # How long a new subrequest of that service and class would wait here.
 }
 
 struct StoredObject {
--- a/packages/peer/src/peer/schema/Peer.capnp.h
+++ b/packages/peer/src/peer/schema/Peer.capnp.h
@@ -140,7 +140,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e0887eeb1f51330f, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(e0887eeb1f51330f, 5, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -946,6 +946,8 @@
   inline bool hasServer() const;
   inline  ::capnp::Text::Reader getServer() const;
 
+  inline  ::uint64_t getWaitMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1014,6 +1016,9 @@
   inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownServer();
 
+  inline  ::uint64_t getWaitMicros();
+  inline void setWaitMicros( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3743,6 +3748,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t SubrequestResult::Reader::getWaitMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SubrequestResult::Builder::getWaitMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void SubrequestResult::Builder::setWaitMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StoredObject::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/peer/test/peer/codec/CodecTest.cpp
+++ b/packages/peer/test/peer/codec/CodecTest.cpp
@@ -51,7 +51,8 @@
       .Payload = *rc::gen::arbitrary<std::string>(),
       .Reason = anyText(),
       .Ranges = {},
-      .Server = anyServer()};
+      .Server = anyServer(),
+      .Wait = std::chrono::microseconds(*rc::gen::inRange(0, 30'000'000))};
   for (auto Layout : *rc::gen::arbitrary<std::vector<std::uint64_t>>())
     Result.Ranges.push_back({.Layout = Layout,
                              .Oldest = IndexVersion(Layout / 2),
