--- a/packages/backend/test/backend/pool/ServerPoolTest.cpp
+++ b/packages/backend/test/backend/pool/ServerPoolTest.cpp
@@ -33,8 +33,9 @@
   int ExtraCount = 0;   ///< Makes answers say more records than they have.
 
   Fixture() {
-    auto Opened = http::Listener::open(
-        Io, {}, [this](http::Request Asked) { return serve(Asked); });
+    auto Opened = http::Listener::open(Io, {}, [this](http::Request Asked) {
+      return serve(std::move(Asked));
+    });
     REQUIRE(Opened);
     Listener = std::move(Opened.value());
   }
@@ -81,9 +82,10 @@
 
   template <typename ValueType> ValueType run(asio::awaitable<ValueType> Call) {
     std::optional<ValueType> Got;
-    asio::co_spawn(
-        Io, std::move(Call),
-        [&](std::exception_ptr, ValueType Value) { Got = std::move(Value); });
+    asio::co_spawn(Io, std::move(Call),
+                   [&](const std::exception_ptr &, ValueType Value) {
+                     Got = std::move(Value);
+                   });
     auto End = std::chrono::steady_clock::now() + Patience;
     Io.restart();
     while (!Got && std::chrono::steady_clock::now() < End)
@@ -113,7 +115,9 @@
   Delay = Milliseconds(100);
   std::optional<SearchOutcome> First;
   asio::co_spawn(Io, Pool.search(request("a", Patience)),
-                 [&](std::exception_ptr, SearchOutcome Got) { First = Got; });
+                 [&](const std::exception_ptr &, SearchOutcome Got) {
+                   First = std::move(Got);
+                 });
   CHECK(is<SearchNotSent>(run(Pool.search(request("b", Patience)))));
   CHECK(Pool.stats().Exhausted == 1);
   auto End = std::chrono::steady_clock::now() + Patience;
