A patch of shares and hedging reaches queues that exist; idle waits look twice

Cause 1: OwnerQueues::configure() left existing queues with their old shares and quantile, so that an accepted patch was not in force there. Cause 2 (found by the process proofs, not traced to the end): an idle session whose wait ended with nothing to read closed without a word; a wait may end for bytes that were read before it began. It now looks at the socket and waits on.

--- a/packages/coordination/src/coordination/queue/ClassScheduler.cpp
+++ b/packages/coordination/src/coordination/queue/ClassScheduler.cpp
@@ -17,6 +17,12 @@
 } // namespace
 
 ClassScheduler::ClassScheduler(const std::vector<ClassShare> &Shares) {
+  setShares(Shares);
+}
+
+void ClassScheduler::setShares(const std::vector<ClassShare> &Shares) {
+  for (auto &[Name, Class] : m_Classes)
+    Class.Share = DefaultShare;
   for (const ClassShare &Class : Shares)
     m_Classes[Class.Name].Share = std::max(Class.Share, MinShare);
 }
--- a/packages/coordination/src/coordination/queue/ClassScheduler.h
+++ b/packages/coordination/src/coordination/queue/ClassScheduler.h
@@ -30,6 +30,9 @@
 
   [[nodiscard]] std::size_t size() const { return m_Size; }
 
+  /// @brief Takes other shares; what waits goes on waiting.
+  void setShares(const std::vector<ClassShare> &Shares);
+
   void push(const ClassName &Class, TimePoint Deadline, SubrequestId Id);
   /// @brief Takes a subrequest out; harmless when it does not wait.
   void erase(const ClassName &Class, TimePoint Deadline, SubrequestId Id);
--- a/packages/coordination/src/coordination/queue/OwnerQueues.cpp
+++ b/packages/coordination/src/coordination/queue/OwnerQueues.cpp
@@ -70,6 +70,9 @@
                      .Latencies = {}});
   State->Options = Options;
   State->Budget.reconfigure(Options.ExtraLoad);
+  for (auto &[Key, Owned] : m_Queues)
+    if (std::get<ServiceName>(Key) == Service)
+      Owned->Queue.reconfigure(queueOptions(Options));
 }
 
 void OwnerQueues::setSlots(const ServerName &Server, std::uint32_t Slots) {
--- a/packages/coordination/src/coordination/queue/OwnerQueues.h
+++ b/packages/coordination/src/coordination/queue/OwnerQueues.h
@@ -40,8 +40,8 @@
   /// @return The sums over all queues so far.
   [[nodiscard]] QueueCounters totals() const;
 
-  /// @brief Says how a service's queues behave; queues that exist keep their
-  /// shares and quantile, and take the new budget.
+  /// @brief Says how a service's queues behave, from now on and also those that
+  /// exist already.
   /// @param Versions What the service's replicas serve; must outlive this.
   void configure(const ServiceName &Service, const ServiceQueueOptions &Options,
                  VersionBoard &Versions);
--- a/packages/coordination/src/coordination/queue/ReplicaSetQueue.cpp
+++ b/packages/coordination/src/coordination/queue/ReplicaSetQueue.cpp
@@ -231,6 +231,13 @@
   return Out;
 }
 
+void ReplicaSetQueue::reconfigure(const ReplicaSetQueueOptions &Options) {
+  std::vector<ServerName> Replicas = std::move(m_Options.Replicas);
+  m_Options = Options;
+  m_Options.Replicas = std::move(Replicas);
+  m_Scheduler.setShares(Options.Classes);
+}
+
 QueueActions ReplicaSetQueue::setReplicas(std::vector<ServerName> Replicas,
                                           TimePoint Now) {
   m_Choice.setReplicas(std::move(Replicas));
--- a/packages/coordination/src/coordination/queue/ReplicaSetQueue.h
+++ b/packages/coordination/src/coordination/queue/ReplicaSetQueue.h
@@ -90,6 +90,9 @@
   /// @brief Call it after a server's state or slots have changed: what no
   /// replica can take any more completes.
   [[nodiscard]] QueueActions onServersChanged(TimePoint Now);
+  /// @brief Takes other shares and hedging delays; what waits goes on waiting,
+  /// and the replicas stay.
+  void reconfigure(const ReplicaSetQueueOptions &Options);
   /// @brief Takes another list of replicas; attempts under way go on.
   [[nodiscard]] QueueActions setReplicas(std::vector<ServerName> Replicas,
                                          TimePoint Now);
--- a/packages/coordination/test/coordination/queue/OwnerQueuesTest.cpp
+++ b/packages/coordination/test/coordination/queue/OwnerQueuesTest.cpp
@@ -1,5 +1,7 @@
 #include "coordination/queue/OwnerQueues.h"
 
+#include "coordination/queue/ClassScheduler.h"
+
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -160,3 +162,26 @@
   CHECK(!Queues.nextWake());
   CHECK(Queues.counters().Sends == 0);
 }
+
+TEST_CASE("a scheduler follows a change of shares") {
+  const ClassName Desk("desk");
+  const ClassName Sweep("sweep");
+  ClassScheduler Scheduler(
+      {{.Name = Desk, .Share = 0.01}, {.Name = Sweep, .Share = 1}});
+  Scheduler.setShares(
+      {{.Name = Desk, .Share = 1}, {.Name = Sweep, .Share = 0.01}});
+  // The sweep's deadlines are earlier, but it soon runs ahead of its share.
+  for (std::uint64_t Id = 0; Id < 40; ++Id) {
+    bool IsDesk = Id % 2 == 0;
+    Scheduler.push(IsDesk ? Desk : Sweep,
+                   Start + (IsDesk ? Milliseconds(200) : Milliseconds(100)),
+                   SubrequestId(Id));
+  }
+  int DeskFirst = 0;
+  for (int I = 0; I < 20; ++I) {
+    auto Popped = Scheduler.popFirst([](SubrequestId) { return true; });
+    REQUIRE(Popped);
+    DeskFirst += Popped->value() % 2 == 0 ? 1 : 0;
+  }
+  CHECK(DeskFirst >= 15);
+}
--- a/packages/http/src/http/Session.cpp
+++ b/packages/http/src/http/Session.cpp
@@ -15,6 +15,10 @@
 #include <exception>
 #include <optional>
 
+#include <sys/socket.h>
+
+#include <cerrno>
+
 namespace carawaypond::http::internal {
 
 namespace beast_http = boost::beast::http;
@@ -79,6 +83,13 @@
   return m_Socket.available(Failed) > 0 && !Failed;
 }
 
+bool Session::isQuiet() {
+  char Byte = 0;
+  auto Got = ::recv(m_Socket.native_handle(), &Byte, sizeof(Byte),
+                    MSG_PEEK | MSG_DONTWAIT);
+  return Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 bool Session::mustClose() const {
   bool Asked = m_CloseWhenIdle || m_Table->isDraining();
   return Asked && m_Buffer.size() == 0 && !hasUnreadBytes();
@@ -117,10 +128,12 @@
 }
 
 awaitable<void> Session::run() {
-  while (co_await awaitRequest()) {
+  bool Goes = co_await awaitRequest();
+  while (Goes) {
     bool KeepAlive = co_await serveRequest();
     if (!KeepAlive)
       break;
+    Goes = co_await awaitRequest();
   }
   co_await shutDown();
 }
@@ -128,11 +141,14 @@
 awaitable<bool> Session::awaitRequest() {
   if (m_Buffer.size() > 0)
     co_return true;
-  if (!m_CloseWhenIdle) {
+  bool IsWaiting = !m_CloseWhenIdle;
+  waitAtMost(m_Table->options().IdleTimeout);
+  while (IsWaiting) {
     m_Idle = true;
-    waitAtMost(m_Table->options().IdleTimeout);
     co_await m_Socket.async_wait(boost::asio::socket_base::wait_read, AsTuple);
     m_Idle = false;
+    // A wait may end for bytes that were read before it began.
+    IsWaiting = !m_Expired && !m_CloseWhenIdle && isQuiet();
   }
   if (hasUnreadBytes())
     co_return true;
--- a/packages/http/src/http/Session.h
+++ b/packages/http/src/http/Session.h
@@ -42,6 +42,8 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   [[nodiscard]] bool hasUnreadBytes() const;
+  /// @return Whether the connection is open and has nothing to read.
+  [[nodiscard]] bool isQuiet();
   /// @return Whether to close, and no further request has begun to arrive.
   [[nodiscard]] bool mustClose() const;
 
