--- a/fuzz/SearchFuzz.cpp
+++ b/fuzz/SearchFuzz.cpp
@@ -11,6 +11,8 @@
 using namespace carawaypond::backend;
 
 /// @brief Reads bytes as the answer to subrequest "7", and as a status.
+// The fuzzer calls this name.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
                                       std::size_t Size) {
   SearchRequest Search;
--- a/packages/daemon/src/daemon/app/Daemon.cpp
+++ b/packages/daemon/src/daemon/app/Daemon.cpp
@@ -197,10 +197,10 @@
   Handlers.OnRun = [this](const peer::PeerIdentity &From,
                           std::vector<peer::PeerSubrequest> Batch,
                           peer::ResultSink Sink) {
-    asio::post(m_TrafficIo, [this, From, Batch = std::move(Batch),
-                             Sink = std::move(Sink)]() mutable {
-      m_Traffic->remote().serve(From, std::move(Batch), std::move(Sink));
-    });
+    asio::post(m_TrafficIo,
+               [this, From, Batch = std::move(Batch), Sink = std::move(Sink)] {
+                 m_Traffic->remote().serve(From, Batch, Sink);
+               });
   };
   Handlers.OnCancel = [this](const peer::PeerIdentity &From,
                              const std::vector<SubrequestId> &Ids) {
--- a/packages/daemon/src/daemon/control/ControlNode.cpp
+++ b/packages/daemon/src/daemon/control/ControlNode.cpp
@@ -24,8 +24,8 @@
 } // namespace
 
 ControlNode::ControlNode(asio::io_context &Io, const Settings &Config,
-                         VmRecord Self, ViewHolder &Views, Metrics &Collected,
-                         ControlHandlers Handlers)
+                         const VmRecord &Self, ViewHolder &Views,
+                         Metrics &Collected, ControlHandlers Handlers)
     : m_Io(Io), m_Config(Config), m_Views(Views), m_Collected(Collected),
       m_Handlers(std::move(Handlers)),
       m_State{.Core = ::carawaypond::ControlNode(
--- a/packages/daemon/src/daemon/control/ControlNode.h
+++ b/packages/daemon/src/daemon/control/ControlNode.h
@@ -34,7 +34,7 @@
 class ControlNode {
 public:
   ControlNode(boost::asio::io_context &Io, const Settings &Config,
-              VmRecord Self, ViewHolder &Views, Metrics &Collected,
+              const VmRecord &Self, ViewHolder &Views, Metrics &Collected,
               ControlHandlers Handlers);
 
   /// @brief Uses @p Node for calls to other VMs.
--- a/packages/daemon/src/daemon/traffic/QueryDriver.cpp
+++ b/packages/daemon/src/daemon/traffic/QueryDriver.cpp
@@ -111,7 +111,7 @@
     for (const Subrequest &Request : Batch)
       Shards.emplace(Request.Id, Request.Shard);
     m_Resources.Remote.run(
-        *m_Resources.View, Owner, std::move(Batch),
+        *m_Resources.View, Owner, Batch,
         {.OnOutcome =
              [Self = shared_from_this(), Shards](SubrequestId Id,
                                                  SubOutcome Outcome) {
--- a/packages/daemon/src/daemon/traffic/RemoteOwners.cpp
+++ b/packages/daemon/src/daemon/traffic/RemoteOwners.cpp
@@ -41,7 +41,8 @@
     : m_Context(Context), m_Services(Services), m_Owned(Owned) {}
 
 void RemoteOwners::run(const ControlView &View, const VmName &Owner,
-                       std::vector<Subrequest> Batch, RemoteObserver Observer) {
+                       const std::vector<Subrequest> &Batch,
+                       RemoteObserver Observer) {
   const VmView *Vm = View.findVm(Owner);
   auto Sent = std::make_shared<SentBatch>();
   Sent->SentAt = monotonicNow();
@@ -120,14 +121,14 @@
 }
 
 void RemoteOwners::serve(const peer::PeerIdentity &From,
-                         std::vector<peer::PeerSubrequest> Batch,
-                         peer::ResultSink Sink) {
-  for (peer::PeerSubrequest &Request : Batch)
-    serveOne(From, std::move(Request), Sink);
+                         const std::vector<peer::PeerSubrequest> &Batch,
+                         const peer::ResultSink &Sink) {
+  for (const peer::PeerSubrequest &Request : Batch)
+    serveOne(From, Request, Sink);
 }
 
 void RemoteOwners::serveOne(const peer::PeerIdentity &From,
-                            peer::PeerSubrequest Request,
+                            const peer::PeerSubrequest &Request,
                             const peer::ResultSink &Sink) {
   ForeignKey Key{From, Request.Id};
   auto [Place, IsNew] = m_Foreign.emplace(Key, m_Context.Ids.next());
@@ -135,7 +136,7 @@
     return;
   Subrequest Local =
       fromPeer(Request, Place->second, monotonicNow(), wallNow());
-  auto Done = [this, Key, Sink, Asked = Local](SubOutcome Outcome) {
+  auto Done = [this, Key, Sink, Asked = Local](const SubOutcome &Outcome) {
     m_Foreign.erase(Key);
     peer::PeerResult Result = toPeer(Key.second, Outcome);
     if (Result.Outcome == peer::PeerOutcome::Answered)
--- a/packages/daemon/src/daemon/traffic/RemoteOwners.h
+++ b/packages/daemon/src/daemon/traffic/RemoteOwners.h
@@ -50,13 +50,14 @@
 
   /// @brief Sends a batch to the VM that owns its replicas.
   void run(const ControlView &View, const VmName &Owner,
-           std::vector<Subrequest> Batch, RemoteObserver Observer);
+           const std::vector<Subrequest> &Batch, RemoteObserver Observer);
   /// @brief Tells the owner that an answer is no longer wanted.
   void cancel(const ControlView &View, const VmName &Owner, SubrequestId Id);
 
   /// @brief Takes over a batch from another VM. Call it on the traffic thread.
   void serve(const peer::PeerIdentity &From,
-             std::vector<peer::PeerSubrequest> Batch, peer::ResultSink Sink);
+             const std::vector<peer::PeerSubrequest> &Batch,
+             const peer::ResultSink &Sink);
   /// @brief Another VM no longer wants these. Call it on the traffic thread.
   void serveCancel(const peer::PeerIdentity &From,
                    const std::vector<SubrequestId> &Ids);
@@ -67,7 +68,8 @@
     bool operator()(const ForeignKey &Left, const ForeignKey &Right) const;
   };
 
-  void serveOne(const peer::PeerIdentity &From, peer::PeerSubrequest Request,
+  void serveOne(const peer::PeerIdentity &From,
+                const peer::PeerSubrequest &Request,
                 const peer::ResultSink &Sink);
   void noteReport(const SentPart &Asked, TimePoint SentAt,
                   const peer::PeerResult &Result);
