--- a/packages/coordination/src/coordination/configuration/SubmissionOutcome.h
+++ b/packages/coordination/src/coordination/configuration/SubmissionOutcome.h
@@ -14,8 +14,10 @@
                          const SubmissionAccepted &) = default;
 };
 
-/// @brief The submission changed nothing and never will: the service has
-/// another version than the one it names.
+/// @brief The submission changed nothing: the service has another version than
+/// the one it names, or exists where it was to be created. A patch or deletion
+/// that is stale stays so; a creation names no version, and may succeed when it
+/// is sent again after a deletion.
 struct SubmissionStale {
   ConfigVersion Current;
   friend bool operator==(const SubmissionStale &,
