--- /dev/null
+++ b/packages/coordination/src/coordination/budget/ArrivalBudget.cpp
@@ -0,0 +1,55 @@
+#include "coordination/budget/ArrivalBudget.h"
+
+#include <algorithm>
+
+namespace carawaypond {
+
+namespace {
+
+/// Part of the budget that is used: VMs may disagree for a while on how many
+/// they are, and a restarted VM does not know what it spent before.
+constexpr double UsedShare = 0.8;
+
+} // namespace
+
+std::int64_t ArrivalBudget::bucketNumber(TimePoint Now) const {
+  auto Width = m_Options.Window / (BucketCount - 1);
+  return Now.time_since_epoch() / std::max<Duration>(Width, Milliseconds(1));
+}
+
+double ArrivalBudget::available(std::size_t Vms, TimePoint Now) const {
+  std::int64_t Newest = bucketNumber(Now);
+  std::int64_t Oldest = Newest - static_cast<std::int64_t>(BucketCount) + 1;
+  double Requests = 0;
+  double Extras = 0;
+  for (const Bucket &Each : m_Buckets) {
+    if (Each.Number < Oldest || Each.Number > Newest)
+      continue;
+    Requests += Each.Requests;
+    Extras += Each.Extras;
+  }
+  double Part =
+      m_Options.Slack / static_cast<double>(std::max<std::size_t>(Vms, 1));
+  return UsedShare * (m_Options.Ratio * Requests + Part) - Extras;
+}
+
+ArrivalBudget::Bucket &ArrivalBudget::currentBucket(TimePoint Now) {
+  std::int64_t Number = bucketNumber(Now);
+  Bucket &Current = m_Buckets[static_cast<std::size_t>(Number) % BucketCount];
+  if (Current.Number != Number)
+    Current = {.Number = Number};
+  return Current;
+}
+
+void ArrivalBudget::countRequest(TimePoint Now) {
+  ++currentBucket(Now).Requests;
+}
+
+bool ArrivalBudget::trySpend(std::size_t Vms, double Reserve, TimePoint Now) {
+  if (available(Vms, Now) < 1 + Reserve)
+    return false;
+  ++currentBucket(Now).Extras;
+  return true;
+}
+
+} // namespace carawaypond
--- a/packages/coordination/src/coordination/budget/fwd.h
+++ b/packages/coordination/src/coordination/budget/fwd.h
@@ -2,7 +2,9 @@
 
 namespace carawaypond {
 
+class ArrivalBudget;
 class ExtraLoadBudget;
+struct ArrivalBudgetOptions;
 struct ExtraLoadOptions;
 
 } // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/fleet/fwd.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace carawaypond {
+
+struct VmBoardOptions;
+struct VmEntry;
+class VmBoard;
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/placement/ReplicaFleet.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "coordination/placement/PlacementOptions.h"
+#include "coordination/placement/RouteLatency.h"
+#include "coordination/placement/ServiceFleet.h"
+#include "coordination/routing/Route.h"
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace carawaypond {
+
+/// @brief All replicas as this VM knows them, shared by its requests.
+class ReplicaFleet {
+public:
+  explicit ReplicaFleet(PlacementOptions Options)
+      : m_Options(std::move(Options)) {}
+
+  [[nodiscard]] const PlacementOptions &options() const { return m_Options; }
+  [[nodiscard]] std::size_t vms() const { return m_Vms; }
+  [[nodiscard]] const std::unordered_map<ServiceName, ServiceFleet> &
+  services() const {
+    return m_Services;
+  }
+
+  /// @return The service, made if it is not known yet.
+  ServiceFleet &service(const ServiceName &Name);
+  /// @return The latency of @p Of, with a first guess from its objective.
+  RouteLatency &latency(const Route &Of);
+  /// @brief Takes all replicas that are known now.
+  /// @return Replicas that were known and are no more.
+  std::vector<ServerName> replace(const std::vector<ReplicaRecord> &Known,
+                                  TimePoint Now);
+  /// @brief Takes how many VMs share the budgets.
+  void setVms(std::size_t Vms) { m_Vms = Vms; }
+
+private:
+  PlacementOptions m_Options;
+  std::size_t m_Vms = 1;
+  std::unordered_map<ServiceName, ServiceFleet> m_Services;
+  std::unordered_map<ServerName, ServiceName> m_ServiceOf;
+  std::unordered_map<std::string, RouteLatency> m_Latencies;
+};
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/placement/ReplicaGauge.cpp
@@ -0,0 +1,144 @@
+#include "coordination/placement/ReplicaGauge.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace carawaypond {
+
+namespace {
+
+constexpr double SlownessWeight = 0.3; ///< Of one sample.
+constexpr double FailureWeight = 0.25; ///< Of one sample.
+constexpr double MaxSlowness = 30;
+/// Slowness below which a sample tells what is normal for a route.
+constexpr double NormalSlowness = 3;
+constexpr unsigned MaxRefusalDoublings = 5;
+
+double ratio(Duration Part, Duration Whole) {
+  double Divisor = std::chrono::duration<double>(
+                       std::max<Duration>(Whole, Microseconds(100)))
+                       .count();
+  return std::chrono::duration<double>(Part).count() / Divisor;
+}
+
+} // namespace
+
+ReplicaGauge::ReplicaGauge(ReplicaRecord Record, TimePoint Now)
+    : m_Record(std::move(Record)), m_KnownSince(Now), m_LastAnswer(Now),
+      m_SlownessAt(Now), m_RefusedUntil(Now) {}
+
+bool ReplicaGauge::isStalled(const PlacementOptions &Options,
+                             TimePoint Now) const {
+  return std::any_of(
+      m_Pending.begin(), m_Pending.end(), [&](const Pending &Each) {
+        Duration Silence = Now - std::max(Each.SentAt, m_LastAnswer);
+        auto Normal = std::chrono::duration_cast<Duration>(Each.Expected *
+                                                           Options.StallFactor);
+        return Silence > std::max<Duration>(Options.MinStall, Normal);
+      });
+}
+
+double ReplicaGauge::slowness(const PlacementOptions &Options,
+                              TimePoint Now) const {
+  double HalfLives = ratio(Now - m_SlownessAt, Options.SlownessHalfLife);
+  return 1 + (m_Slowness - 1) * std::exp2(-HalfLives);
+}
+
+double ReplicaGauge::cost(const PlacementOptions &Options,
+                          TimePoint Now) const {
+  double Slots = std::max(1U, m_Record.Slots);
+  double Queued = static_cast<double>(m_Pending.size()) / Slots;
+  double Cost = slowness(Options, Now) * (1 + Queued);
+  if (Now < m_KnownSince + m_Record.WarmupLeft)
+    Cost *= Options.WarmupFactor;
+  if (m_Record.Centre != Options.Centre)
+    Cost += Options.OtherCentreCost;
+  Cost += m_FailureRate * Options.FailureCost;
+  if (Now < m_RefusedUntil)
+    Cost += Options.RefusalCost;
+  if (isStalled(Options, Now))
+    Cost += Options.StallCost;
+  return Cost;
+}
+
+void ReplicaGauge::update(ReplicaRecord Record, TimePoint Now) {
+  if (Record.StartedAt != m_Record.StartedAt) {
+    m_Slowness = 1;
+    m_FailureRate = 0;
+    m_RefusalSeries = 0;
+    m_RefusedUntil = Now;
+  }
+  m_Record = std::move(Record);
+  m_KnownSince = Now;
+}
+
+void ReplicaGauge::onSent(SubrequestId Id, Duration Expected, TimePoint Now) {
+  m_Pending.push_back({.Id = Id, .SentAt = Now, .Expected = Expected});
+}
+
+std::optional<Duration> ReplicaGauge::onEnded(SubrequestId Id,
+                                              AttemptResult How,
+                                              const PlacementOptions &Options,
+                                              TimePoint Now) {
+  auto Found =
+      std::find_if(m_Pending.begin(), m_Pending.end(),
+                   [Id](const Pending &Each) { return Each.Id == Id; });
+  if (Found == m_Pending.end())
+    return std::nullopt;
+  Pending Ended = *Found;
+  m_Pending.erase(Found);
+  Duration Latency = Now - Ended.SentAt;
+  double Ratio = ratio(Latency, Ended.Expected);
+  if (How != AttemptResult::Abandoned && How != AttemptResult::NeverSent)
+    m_LastAnswer = Now;
+  switch (How) {
+  case AttemptResult::Served:
+    learnSlowness(Ratio, Options, Now);
+    learnFailure(0);
+    m_RefusalSeries = 0;
+    m_RefusedUntil = Now;
+    if (m_Slowness < NormalSlowness)
+      return Latency;
+    return std::nullopt;
+  case AttemptResult::NotRun:
+    learnRefusal(Options, Now);
+    return std::nullopt;
+  case AttemptResult::Abandoned:
+    if (Ratio > 1)
+      learnSlowness(Ratio, Options, Now);
+    return std::nullopt;
+  case AttemptResult::NeverSent:
+    learnRefusal(Options, Now);
+    learnFailure(1);
+    return std::nullopt;
+  case AttemptResult::Misplaced:
+  case AttemptResult::ServerFailed:
+  case AttemptResult::Lost:
+    learnFailure(1);
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+void ReplicaGauge::learnSlowness(double Ratio, const PlacementOptions &Options,
+                                 TimePoint Now) {
+  double Sample = std::clamp(Ratio, 0.3, MaxSlowness);
+  m_Slowness = slowness(Options, Now);
+  m_Slowness += SlownessWeight * (Sample - m_Slowness);
+  m_SlownessAt = Now;
+}
+
+void ReplicaGauge::learnFailure(double Sample) {
+  m_FailureRate += FailureWeight * (Sample - m_FailureRate);
+}
+
+void ReplicaGauge::learnRefusal(const PlacementOptions &Options,
+                                TimePoint Now) {
+  unsigned Doublings = std::min(m_RefusalSeries, MaxRefusalDoublings);
+  Milliseconds Memory = Options.RefusalMemory * (1U << Doublings);
+  m_RefusedUntil = Now + std::min(Memory, Options.MaxRefusalMemory);
+  ++m_RefusalSeries;
+}
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/placement/ServiceFleet.cpp
@@ -0,0 +1,46 @@
+#include "coordination/placement/ServiceFleet.h"
+
+#include <algorithm>
+
+namespace carawaypond {
+
+ReplicaGauge *ServiceFleet::find(const ServerName &Id) {
+  auto Found = m_Replicas.find(Id);
+  return Found == m_Replicas.end() ? nullptr : &Found->second;
+}
+
+ReplicaGauge *ServiceFleet::cheapest(const std::vector<ServerName> &Excluded,
+                                     const PlacementOptions &Options,
+                                     TimePoint Now) {
+  std::vector<ReplicaGauge *> Usable;
+  for (auto &[Id, Gauge] : m_Replicas) {
+    bool IsExcluded =
+        std::find(Excluded.begin(), Excluded.end(), Id) != Excluded.end();
+    if (!IsExcluded && Gauge.record().State == ReplicaState::Serving)
+      Usable.push_back(&Gauge);
+  }
+  if (Usable.empty())
+    return nullptr;
+  std::rotate(Usable.begin(), Usable.begin() + m_Rotation++ % Usable.size(),
+              Usable.end());
+  ReplicaGauge *Best = nullptr;
+  double Least = 0;
+  for (ReplicaGauge *Each : Usable) {
+    double Cost = Each->cost(Options, Now);
+    if (Best != nullptr && Cost >= Least)
+      continue;
+    Best = Each;
+    Least = Cost;
+  }
+  return Best;
+}
+
+void ServiceFleet::put(const ReplicaRecord &Record, TimePoint Now) {
+  auto Found = m_Replicas.find(Record.Id);
+  if (Found == m_Replicas.end())
+    m_Replicas.emplace(Record.Id, ReplicaGauge(Record, Now));
+  else
+    Found->second.update(Record, Now);
+}
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/placement/ServiceFleet.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "coordination/budget/ArrivalBudget.h"
+#include "coordination/placement/PlacementOptions.h"
+#include "coordination/placement/ReplicaGauge.h"
+#include "core/id/Ids.h"
+
+#include <map>
+#include <vector>
+
+namespace carawaypond {
+
+/// @brief The replicas of one service, and its budget for extra arrivals.
+class ServiceFleet {
+public:
+  explicit ServiceFleet(const PlacementOptions &Options)
+      : m_Budget(Options.Budget) {}
+
+  [[nodiscard]] bool isEmpty() const { return m_Replicas.empty(); }
+  [[nodiscard]] const std::map<ServerName, ReplicaGauge> &replicas() const {
+    return m_Replicas;
+  }
+  /// @return The gauge of @p Id, or null.
+  [[nodiscard]] ReplicaGauge *find(const ServerName &Id);
+  [[nodiscard]] ArrivalBudget &budget() { return m_Budget; }
+  /// @return The replica that costs least and is none of @p Excluded, or null.
+  /// Leaving replicas get nothing.
+  [[nodiscard]] ReplicaGauge *cheapest(const std::vector<ServerName> &Excluded,
+                                       const PlacementOptions &Options,
+                                       TimePoint Now);
+
+  void put(const ReplicaRecord &Record, TimePoint Now);
+  void erase(const ServerName &Id) { m_Replicas.erase(Id); }
+
+private:
+  std::map<ServerName, ReplicaGauge> m_Replicas;
+  ArrivalBudget m_Budget;
+  std::size_t m_Rotation = 0; ///< Which of equally cheap replicas comes first.
+};
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/replicas/ReplicaBook.cpp
@@ -0,0 +1,87 @@
+#include "coordination/replicas/ReplicaBook.h"
+
+#include <algorithm>
+
+namespace carawaypond {
+
+std::optional<TimePoint> ReplicaBook::nextExpiry() const {
+  std::optional<TimePoint> Next;
+  for (const auto &[Id, Until] : m_Missing)
+    if (!Next || Until < *Next)
+      Next = Until;
+  return Next;
+}
+
+bool ReplicaBook::isDoubted(TimePoint Now) const {
+  if (m_IsStoreLost)
+    return true;
+  return m_StoreReturnedAt &&
+         Now < *m_StoreReturnedAt + m_Options.ReturnAllowance;
+}
+
+bool ReplicaBook::put(ReplicaRecord Record) {
+  m_Missing.erase(Record.Id);
+  auto [Found, IsNew] = m_Entries.try_emplace(Record.Id, Record);
+  if (IsNew)
+    return true;
+  if (Record.StartedAt < Found->second.StartedAt || Found->second == Record)
+    return false;
+  Found->second = std::move(Record);
+  return true;
+}
+
+bool ReplicaBook::remove(const ServerName &Id, TimePoint Now) {
+  if (!m_Entries.contains(Id))
+    return false;
+  if (!isDoubted(Now))
+    return m_Missing.erase(Id), m_Entries.erase(Id) > 0;
+  TimePoint Returned = m_StoreReturnedAt.value_or(Now);
+  TimePoint Known = m_IsStoreLost ? Now : Returned;
+  m_Missing.try_emplace(Id, Known + m_Options.ReturnAllowance);
+  return false;
+}
+
+bool ReplicaBook::replaceAll(std::vector<ReplicaRecord> Listed, TimePoint Now) {
+  bool Changed = false;
+  std::vector<ServerName> Gone;
+  for (const auto &[Id, Record] : m_Entries) {
+    bool IsListed =
+        std::any_of(Listed.begin(), Listed.end(),
+                    [&](const ReplicaRecord &Each) { return Each.Id == Id; });
+    if (!IsListed)
+      Gone.push_back(Id);
+  }
+  for (const ServerName &Id : Gone)
+    Changed = remove(Id, Now) || Changed;
+  for (ReplicaRecord &Record : Listed)
+    Changed = put(std::move(Record)) || Changed;
+  return Changed;
+}
+
+void ReplicaBook::onStoreLost() { m_IsStoreLost = true; }
+
+void ReplicaBook::onStoreAnswered(TimePoint Now) {
+  if (!m_IsStoreLost)
+    return;
+  m_IsStoreLost = false;
+  m_StoreReturnedAt = Now;
+  for (auto &[Id, Until] : m_Missing)
+    Until = Now + m_Options.ReturnAllowance;
+}
+
+bool ReplicaBook::expire(TimePoint Now) {
+  if (m_IsStoreLost)
+    return false;
+  auto Before = m_Entries.size();
+  for (auto Each = m_Missing.begin(); Each != m_Missing.end();) {
+    if (Now < Each->second) {
+      ++Each;
+      continue;
+    }
+    m_Entries.erase(Each->first);
+    Each = m_Missing.erase(Each);
+  }
+  return m_Entries.size() != Before;
+}
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/replicas/ReplicaRecord.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "core/id/Ids.h"
+#include "core/time/Time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace carawaypond {
+
+enum class ReplicaState { Serving, Leaving };
+
+/// @brief What the platform says of one replica.
+struct ReplicaRecord {
+  ServerName Id;
+  ServiceName Service;
+  std::string Address; ///< "ip:port"
+  DataCentre Centre;
+  unsigned Slots = 1; ///< Requests that it works on at the same time.
+  ReplicaState State = ReplicaState::Serving;
+  Milliseconds WarmupLeft{0};
+  std::int64_t StartedAt = 0; ///< Unix milliseconds; tells incarnations apart.
+
+  friend bool operator==(const ReplicaRecord &,
+                         const ReplicaRecord &) = default;
+};
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/routing/Route.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "core/id/Ids.h"
+#include "core/time/Time.h"
+
+#include <cstddef>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace carawaypond {
+
+/// @brief Whether a request may be executed more than once.
+enum class RequestKind { Idempotent, NonIdempotent };
+
+/// @brief Requests go to one replica of a service.
+struct SingleTarget {
+  ServiceName Service;
+};
+
+/// @brief One of several services that share a route's requests.
+struct WeightedService {
+  ServiceName Service;
+  double Weight = 0;
+};
+
+/// @brief Each request goes to one of several services, by weight.
+struct WeightedTarget {
+  std::vector<WeightedService> Services;
+};
+
+/// @brief Each request goes to one replica of every shard.
+struct ShardSetTarget {
+  std::vector<ServiceName> Shards;
+  std::size_t TopRecords = 0; ///< How many of the greatest records to answer.
+  double LeastShare = 0; ///< Of the shards, for the answer to be a success.
+};
+
+using RouteTarget = std::variant<SingleTarget, WeightedTarget, ShardSetTarget>;
+
+/// @brief How requests of one host below one path are handled.
+struct Route {
+  std::string Name;
+  std::string Host;
+  std::string Prefix; ///< Begins and ends with a slash.
+  RequestKind Kind = RequestKind::NonIdempotent;
+  Milliseconds Timeout{0};   ///< No request waits longer for its answer.
+  Milliseconds Objective{0}; ///< Latency that callers count on.
+  unsigned Priority = 0;     ///< 0 is the most urgent.
+  unsigned MaxAttempts = 1;  ///< Replicas that may get one request, per shard.
+  RouteTarget Target;
+};
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/routing/RoutingTable.cpp
@@ -0,0 +1,59 @@
+#include "coordination/routing/RoutingTable.h"
+
+#include <algorithm>
+
+namespace carawaypond {
+
+namespace {
+
+char lowered(char C) {
+  bool IsUpper = C >= 'A' && C <= 'Z';
+  return IsUpper ? static_cast<char>(C - 'A' + 'a') : C;
+}
+
+/// @return @p Host in lower case, without a port and a final dot.
+std::string normalizedHost(std::string_view Host) {
+  Host = Host.substr(0, Host.find(':'));
+  if (Host.ends_with('.'))
+    Host.remove_suffix(1);
+  std::string Normalized(Host);
+  std::transform(Normalized.begin(), Normalized.end(), Normalized.begin(),
+                 lowered);
+  return Normalized;
+}
+
+} // namespace
+
+RoutingTable::RoutingTable(ConfigVersion Version, std::vector<Route> Routes,
+                           Services Limits, CallerLimits Callers)
+    : m_Version(Version), m_Routes(std::move(Routes)),
+      m_Services(std::move(Limits)), m_Callers(Callers) {
+  for (std::size_t I = 0; I < m_Routes.size(); ++I)
+    m_ByHostAndPrefix.emplace(
+        normalizedHost(m_Routes[I].Host) + m_Routes[I].Prefix, I);
+}
+
+ServiceLimits RoutingTable::limits(const ServiceName &Service) const {
+  auto Found = m_Services.find(Service);
+  return Found == m_Services.end() ? ServiceLimits{} : Found->second;
+}
+
+const Route *RoutingTable::find(std::string_view Host,
+                                std::string_view Path) const {
+  std::string Key = normalizedHost(Host);
+  std::size_t HostLength = Key.size();
+  std::size_t Slash = Path.rfind('/');
+  while (Slash != std::string_view::npos) {
+    Key.resize(HostLength);
+    Key += Path.substr(0, Slash + 1);
+    auto Found = m_ByHostAndPrefix.find(Key);
+    if (Found != m_ByHostAndPrefix.end())
+      return &m_Routes[Found->second];
+    if (Slash == 0)
+      break;
+    Slash = Path.rfind('/', Slash - 1);
+  }
+  return nullptr;
+}
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/routing/fwd.h
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace carawaypond {
+
+enum class RequestKind;
+struct CallerLimits;
+struct Route;
+struct ServiceLimits;
+struct ShardSetTarget;
+struct SingleTarget;
+struct WeightedService;
+struct WeightedTarget;
+class RoutingTable;
+class WeightedPicker;
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/run/RequestRun.cpp
@@ -0,0 +1,326 @@
+#include "coordination/run/RequestRun.h"
+
+#include "core/invariant/Invariant.h"
+
+#include <algorithm>
+
+namespace carawaypond {
+
+namespace {
+
+/// Attempts beyond MaxAttempts that may follow refusals.
+constexpr std::size_t RefusedAllowance = 1;
+
+bool provesNotRun(AttemptResult How) {
+  return How == AttemptResult::NotRun || How == AttemptResult::Misplaced ||
+         How == AttemptResult::NeverSent;
+}
+
+} // namespace
+
+RequestRun::RequestRun(RunPlan Plan, ReplicaFleet &Fleet, SubrequestId FirstId,
+                       const RunOptions &Options, TimePoint Now)
+    : m_Plan(std::move(Plan)), m_Fleet(Fleet), m_Options(Options),
+      m_Latency(Fleet.latency(*m_Plan.Chosen)), m_StartedAt(Now),
+      m_NextId(FirstId.value()) {
+  const Route &Chosen = *m_Plan.Chosen;
+  m_ObjectiveAt =
+      Now + Chosen.Objective - m_Plan.AlreadyWaited - m_Options.CallerAllowance;
+  Milliseconds Patience = std::min(m_Plan.CallerPatience, Chosen.Timeout);
+  m_Deadline =
+      Now + std::max(Patience - m_Options.AnswerAllowance, Milliseconds(1));
+  m_Targets.reserve(m_Plan.Services.size());
+  for (const ServiceName &Each : m_Plan.Services)
+    m_Targets.push_back({.Service = Each});
+}
+
+bool RequestRun::isGather() const {
+  return std::holds_alternative<ShardSetTarget>(route().Target);
+}
+
+bool RequestRun::mayRepeat() const {
+  return route().Kind == RequestKind::Idempotent;
+}
+
+std::size_t RequestRun::maxAttempts() const {
+  return m_Targets.size() * (route().MaxAttempts + RefusedAllowance);
+}
+
+std::size_t RequestRun::outstanding(const Target &Of) const {
+  return static_cast<std::size_t>(
+      std::count_if(Of.Attempts.begin(), Of.Attempts.end(),
+                    [](const Attempt &Each) { return !Each.Ended; }));
+}
+
+bool RequestRun::isDone() const {
+  return m_IsAnswered &&
+         std::all_of(m_Targets.begin(), m_Targets.end(),
+                     [this](const auto &T) { return outstanding(T) == 0; });
+}
+
+bool RequestRun::mayHaveRun() const {
+  for (const Target &Each : m_Targets)
+    for (const Attempt &Made : Each.Attempts)
+      if (!Made.Ended || !provesNotRun(*Made.Ended))
+        return true;
+  return false;
+}
+
+bool RequestRun::maySendAgain(const Target &Of) const {
+  std::size_t Run = 0;
+  for (const Attempt &Each : Of.Attempts)
+    if (!Each.Ended || !provesNotRun(*Each.Ended))
+      ++Run;
+  if (Run > 0 && !mayRepeat())
+    return false;
+  return Run < route().MaxAttempts &&
+         Of.Attempts.size() < route().MaxAttempts + RefusedAllowance;
+}
+
+std::vector<ServerName> RequestRun::used(const Target &Of) const {
+  std::vector<ServerName> Used;
+  for (const Attempt &Each : Of.Attempts)
+    Used.push_back(Each.Replica);
+  return Used;
+}
+
+std::size_t RequestRun::servedCount() const {
+  return static_cast<std::size_t>(
+      std::count_if(m_Targets.begin(), m_Targets.end(),
+                    [](const Target &Each) { return Each.Served; }));
+}
+
+bool RequestRun::hasLeastShare() const {
+  const auto *Shards = std::get_if<ShardSetTarget>(&route().Target);
+  std::size_t Served = servedCount();
+  if (Shards == nullptr || Served == 0)
+    return Served > 0;
+  double Share =
+      static_cast<double>(Served) / static_cast<double>(m_Targets.size());
+  return Share >= Shards->LeastShare;
+}
+
+bool RequestRun::isDecided() const {
+  return std::all_of(m_Targets.begin(), m_Targets.end(),
+                     [](const Target &T) { return T.Served || T.IsGivenUp; });
+}
+
+RunActions RequestRun::start(TimePoint Now) {
+  RunActions Out;
+  for (Target &Each : m_Targets)
+    Each.IsGivenUp = !hasReplica(Each);
+  if (canSucceed())
+    for (Target &Each : m_Targets)
+      sendFirst(Each, Out, Now);
+  decide(Out, Now);
+  return Out;
+}
+
+bool RequestRun::hasReplica(const Target &Of) const {
+  const auto &Replicas = m_Fleet.service(Of.Service).replicas();
+  return std::any_of(Replicas.begin(), Replicas.end(), [](const auto &Each) {
+    return Each.second.record().State == ReplicaState::Serving;
+  });
+}
+
+bool RequestRun::canSucceed() const {
+  auto Open = std::count_if(m_Targets.begin(), m_Targets.end(),
+                            [](const Target &T) { return !T.IsGivenUp; });
+  const auto *Shards = std::get_if<ShardSetTarget>(&route().Target);
+  if (Shards == nullptr || Open == 0)
+    return Open > 0;
+  double Share =
+      static_cast<double>(Open) / static_cast<double>(m_Targets.size());
+  return Share >= Shards->LeastShare;
+}
+
+void RequestRun::sendFirst(Target &To, RunActions &Out, TimePoint Now) {
+  ServiceFleet &Service = m_Fleet.service(To.Service);
+  ReplicaGauge *Replica = Service.cheapest({}, m_Fleet.options(), Now);
+  if (Replica == nullptr)
+    return;
+  Service.budget().countRequest(Now);
+  send(To, *Replica, false, Out, Now);
+}
+
+void RequestRun::send(Target &To, ReplicaGauge &Replica, bool IsExtra,
+                      RunActions &Out, TimePoint Now) {
+  SubrequestId Id(m_NextId++);
+  Replica.onSent(Id, m_Latency.median(), Now);
+  To.Attempts.push_back(
+      {.Id = Id, .Replica = Replica.record().Id, .SentAt = Now, .Ended = {}});
+  Out.push_back(SendAttempt{.Id = Id,
+                            .Service = To.Service,
+                            .Replica = Replica.record().Id,
+                            .IsExtra = IsExtra});
+}
+
+bool RequestRun::sendExtra(Target &To, double Reserve, RunActions &Out,
+                           TimePoint Now) {
+  if (!maySendAgain(To) || Now >= m_Deadline)
+    return false;
+  ServiceFleet &Service = m_Fleet.service(To.Service);
+  ReplicaGauge *Replica = Service.cheapest(used(To), m_Fleet.options(), Now);
+  bool MayReuse = outstanding(To) == 0;
+  if (Replica == nullptr && MayReuse)
+    Replica = Service.cheapest({}, m_Fleet.options(), Now);
+  if (Replica == nullptr)
+    return false;
+  if (!Service.budget().trySpend(m_Fleet.vms(), Reserve, Now))
+    return false;
+  send(To, *Replica, true, Out, Now);
+  return true;
+}
+
+RunActions RequestRun::onEnded(SubrequestId Id, AttemptResult How,
+                               TimePoint Now) {
+  RunActions Out;
+  for (Target &Each : m_Targets) {
+    auto Found = std::find_if(Each.Attempts.begin(), Each.Attempts.end(),
+                              [Id](const Attempt &A) { return A.Id == Id; });
+    if (Found == Each.Attempts.end() || Found->Ended)
+      continue;
+    Found->Ended = How;
+    ReplicaGauge *Gauge = m_Fleet.service(Each.Service).find(Found->Replica);
+    if (Gauge != nullptr)
+      if (auto Normal = Gauge->onEnded(Id, How, m_Fleet.options(), Now))
+        m_Latency.add(*Normal);
+    if (How == AttemptResult::Served && !Each.Served)
+      Each.Served = Id;
+    if (How == AttemptResult::ServerFailed)
+      Each.Failed = Id;
+    if (m_IsAnswered || Each.Served || outstanding(Each) > 0)
+      continue;
+    if (!sendExtra(Each, 0, Out, Now))
+      Each.IsGivenUp = true;
+  }
+  decide(Out, Now);
+  return Out;
+}
+
+bool RequestRun::isLate(const Target &Of, TimePoint Now) const {
+  const Attempt &Newest = Of.Attempts.back();
+  Duration Age = Now - Newest.SentAt;
+  Duration Delay =
+      std::max<Duration>(m_Latency.high(), m_Options.MinHedgeDelay);
+  return Age >= Delay;
+}
+
+void RequestRun::hedge(RunActions &Out, TimePoint Now) {
+  for (Target &Each : m_Targets) {
+    if (Each.Served || Each.IsGivenUp || outstanding(Each) != 1)
+      continue;
+    const Attempt &Newest = Each.Attempts.back();
+    ReplicaGauge *Gauge = m_Fleet.service(Each.Service).find(Newest.Replica);
+    bool IsStalled =
+        Gauge == nullptr || Gauge->isStalled(m_Fleet.options(), Now);
+    if (IsStalled || isLate(Each, Now))
+      sendExtra(Each, m_Options.HedgeReserve, Out, Now);
+  }
+}
+
+TimePoint RequestRun::nextTick(TimePoint Now) const {
+  if (m_IsAnswered)
+    return TimePoint::max();
+  TimePoint Next = Now + m_Options.Tick;
+  if (!mayRepeat() || Now > m_ObjectiveAt)
+    Next = Now + m_Options.Tick * 4;
+  if (Now < m_ObjectiveAt)
+    Next = std::min(Next, m_ObjectiveAt);
+  return std::min(Next, m_Deadline);
+}
+
+RunActions RequestRun::onTick(TimePoint Now) {
+  RunActions Out;
+  if (m_IsAnswered)
+    return Out;
+  if (mayRepeat())
+    hedge(Out, Now);
+  decide(Out, Now);
+  return Out;
+}
+
+RunActions RequestRun::onCallerGone(TimePoint) {
+  RunActions Out;
+  if (m_IsAnswered)
+    return Out;
+  m_IsAnswered = true;
+  for (const Target &Each : m_Targets)
+    for (const Attempt &Made : Each.Attempts)
+      if (!Made.Ended)
+        Out.push_back(AbandonAttempt{.Id = Made.Id, .Grace = Duration(0)});
+  return Out;
+}
+
+void RequestRun::decide(RunActions &Out, TimePoint Now) {
+  if (m_IsAnswered)
+    return;
+  if (!isGather()) {
+    const Target &Only = m_Targets.front();
+    if (Only.Served)
+      return finish(RelayReply{.Attempt = *Only.Served}, m_Options.LoserGrace,
+                    Out);
+    if (Only.IsGivenUp || Now >= m_Deadline)
+      answerFailure(Out, Now);
+    return;
+  }
+  if (!canSucceed())
+    return answerFailure(Out, Now);
+  if (isDecided() || Now >= m_Deadline)
+    return hasLeastShare() ? answerParts(Out) : answerFailure(Out, Now);
+  if (Now < m_ObjectiveAt || !hasLeastShare())
+    return;
+  auto LateWait = std::chrono::duration_cast<Duration>(
+      (m_Deadline - m_ObjectiveAt) * m_Options.LateWaitShare);
+  bool IsAtObjective = Now < m_ObjectiveAt + m_Options.CallerAllowance / 2;
+  if (IsAtObjective || Now >= m_ObjectiveAt + LateWait)
+    answerParts(Out);
+}
+
+void RequestRun::answerParts(RunActions &Out) {
+  AnswerParts Answer;
+  for (const Target &Each : m_Targets) {
+    if (Each.Served)
+      Answer.Parts.push_back(*Each.Served);
+    else
+      ++Answer.Missing;
+  }
+  Answer.TopRecords = std::get<ShardSetTarget>(route().Target).TopRecords;
+  CARAWAYPOND_INVARIANT(!Answer.Parts.empty(), "an answer without a part");
+  // Replicas that are late with a part have no room for work in vain.
+  Duration Grace = Answer.Missing > 0 ? Duration(0) : m_Options.LoserGrace;
+  finish(std::move(Answer), Grace, Out);
+}
+
+void RequestRun::answerFailure(RunActions &Out, TimePoint Now) {
+  if (!mayHaveRun()) {
+    bool WasSent =
+        std::any_of(m_Targets.begin(), m_Targets.end(),
+                    [](const Target &Each) { return !Each.Attempts.empty(); });
+    return finish(RefuseRequest{.Why = WasSent ? RefusalReason::ReplicasBusy
+                                               : RefusalReason::NoReplica,
+                                .RetryAfter = m_Options.RetryAfter},
+                  Duration(0), Out);
+  }
+  if (!isGather() && m_Targets.front().Failed)
+    return finish(RelayReply{.Attempt = *m_Targets.front().Failed},
+                  m_Options.LoserGrace, Out);
+  FailureReason Why = FailureReason::ReplicaLost;
+  if (Now >= m_Deadline)
+    Why = FailureReason::TimedOut;
+  else if (isGather())
+    Why = FailureReason::TooFewShards;
+  finish(FailRequest{.Why = Why}, Duration(0), Out);
+}
+
+void RequestRun::finish(RunAction Answer, Duration Grace, RunActions &Out) {
+  CARAWAYPOND_INVARIANT(!m_IsAnswered, "a request answered twice");
+  m_IsAnswered = true;
+  Out.push_back(std::move(Answer));
+  for (const Target &Each : m_Targets)
+    for (const Attempt &Made : Each.Attempts)
+      if (!Made.Ended)
+        Out.push_back(AbandonAttempt{.Id = Made.Id, .Grace = Grace});
+}
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/run/RunActions.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "core/id/Ids.h"
+#include "core/time/Time.h"
+
+#include <cstddef>
+#include <variant>
+#include <vector>
+
+namespace carawaypond {
+
+/// @brief Send the request to one replica.
+struct SendAttempt {
+  SubrequestId Id;
+  ServiceName Service;
+  ServerName Replica;
+  bool IsExtra = false; ///< A hedge or a retry.
+};
+
+/// @brief Close the attempt's connection unless it has ended by then.
+struct AbandonAttempt {
+  SubrequestId Id;
+  Duration Grace{}; ///< How long its answer may still come.
+};
+
+/// @brief Answer with the merged records of these attempts.
+struct AnswerParts {
+  std::vector<SubrequestId> Parts;
+  std::size_t Missing = 0; ///< Shards that are left out.
+  std::size_t TopRecords = 0;
+};
+
+/// @brief Answer with what the replica answered to this attempt.
+struct RelayReply {
+  SubrequestId Attempt;
+};
+
+enum class RefusalReason { NoReplica, ReplicasBusy, Leaving, NotReady };
+
+/// @brief Answer that the request has not run and will not run.
+struct RefuseRequest {
+  RefusalReason Why = RefusalReason::NoReplica;
+  Milliseconds RetryAfter{0};
+};
+
+enum class FailureReason { ReplicaLost, TimedOut, TooFewShards };
+
+/// @brief Answer that the request failed and may have run.
+struct FailRequest {
+  FailureReason Why = FailureReason::ReplicaLost;
+};
+
+using RunAction = std::variant<SendAttempt, AbandonAttempt, AnswerParts,
+                               RelayReply, RefuseRequest, FailRequest>;
+using RunActions = std::vector<RunAction>;
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/run/fwd.h
@@ -0,0 +1,15 @@
+#pragma once
+
+namespace carawaypond {
+
+enum class FailureReason;
+enum class RefusalReason;
+struct AnswerParts;
+struct RelayReply;
+struct RefuseRequest;
+struct FailRequest;
+struct RunOptions;
+struct SendAttempt;
+class RequestRun;
+
+} // namespace carawaypond
--- a/packages/daemon/src/daemon/app/CommandLine.cpp
+++ b/packages/daemon/src/daemon/app/CommandLine.cpp
@@ -13,7 +13,8 @@
 options::options_description description() {
   options::options_description Known("Options");
   Known.add_options()("settings", options::value<std::string>(),
-                      "settings file in JSON (required)")(
+                      "settings file in JSON")(
+      "gateway", "serve on the users' platform, with its settings file")(
       "check", "check the settings and exit")("help", "print this and exit")(
       "version", "print the version and exit");
   return Known;
@@ -33,17 +34,23 @@
     return CommandLine{.What = Task::ShowHelp};
   if (Given.count("version") > 0)
     return CommandLine{.What = Task::ShowVersion};
-  if (Given.count("settings") == 0)
-    return failure(ErrorCode::InvalidInput, "--settings FILE is needed");
-  return CommandLine{.What = Given.count("check") > 0 ? Task::CheckSettings
-                                                      : Task::Serve,
+  Task What = Given.count("check") > 0 ? Task::CheckSettings : Task::Serve;
+  bool IsGateway = Given.count("gateway") > 0;
+  bool HasSettings = Given.count("settings") > 0;
+  if (IsGateway == HasSettings)
+    return failure(ErrorCode::InvalidInput,
+                   "either --settings FILE or --gateway is needed");
+  if (IsGateway)
+    return CommandLine{.What = What, .IsGateway = true};
+  return CommandLine{.What = What,
                      .SettingsPath = Given["settings"].as<std::string>()};
 }
 
 std::string helpText() {
   std::ostringstream Out;
   Out << "carawaypond: query tier over many shards\n\n"
-      << "Usage: carawaypond --settings FILE [--check]\n\n"
+      << "Usage: carawaypond --settings FILE [--check]\n"
+      << "       carawaypond --gateway [--check]\n\n"
       << description() << "\nSIGTERM and SIGINT begin a graceful stop.\n\n"
       << "Exit codes: 0 stopped or checked, 2 wrong usage, 3 invalid settings,"
       << " 4 an address can't be listened on.\n";
--- a/packages/daemon/src/daemon/app/CommandLine.h
+++ b/packages/daemon/src/daemon/app/CommandLine.h
@@ -17,6 +17,7 @@
 /// @brief The daemon's command line.
 struct CommandLine {
   Task What = Task::Serve;
+  bool IsGateway = false; ///< Whether the platform gives the settings.
   std::string SettingsPath;
 };
 
--- a/packages/daemon/src/daemon/main.cpp
+++ b/packages/daemon/src/daemon/main.cpp
@@ -2,8 +2,11 @@
 #include "daemon/app/Daemon.h"
 #include "daemon/log/Log.h"
 #include "daemon/settings/Settings.h"
+#include "gateway/gateway.h"
 
+#include <fstream>
 #include <iostream>
+#include <iterator>
 
 using namespace carawaypond;
 using namespace carawaypond::daemon;
@@ -31,6 +34,33 @@
   return finish(ExitCode::Ok);
 }
 
+Result<adapter::SiteSettings> loadSiteSettings() {
+  Result<std::string> Path = adapter::settingsPath();
+  if (!Path)
+    return boost::outcome_v2::failure(Path.error());
+  std::ifstream File(Path.value());
+  if (!File)
+    return failure(ErrorCode::NotFound, Path.value() + " can't be read");
+  std::string Text{std::istreambuf_iterator<char>(File), {}};
+  return adapter::parseSiteSettings(Text);
+}
+
+/// @brief Serves on the users' platform, which says where the settings are.
+int runGateway(bool IsCheck) {
+  Result<adapter::SiteSettings> Settings = loadSiteSettings();
+  if (!Settings)
+    return fail(ExitCode::InvalidSettings, Settings.error());
+  if (IsCheck) {
+    std::cout << "settings are valid\n";
+    return finish(ExitCode::Ok);
+  }
+  auto Opened = gateway::Gateway::open(std::move(Settings.value()));
+  if (!Opened)
+    return fail(ExitCode::CannotListen, Opened.error());
+  Opened.value()->run();
+  return finish(ExitCode::Ok);
+}
+
 } // namespace
 
 int main(int Count, char **Values) {
@@ -45,6 +75,8 @@
     std::cout << "carawaypond " << Version << '\n';
     return finish(ExitCode::Ok);
   }
+  if (Asked.value().IsGateway)
+    return runGateway(Asked.value().What == Task::CheckSettings);
   Result<Settings> Config = loadSettings(Asked.value().SettingsPath);
   if (!Config)
     return fail(ExitCode::InvalidSettings, Config.error());
--- /dev/null
+++ b/packages/gateway/src/gateway/app/Gateway.cpp
@@ -0,0 +1,280 @@
+#include "gateway/app/Gateway.h"
+
+#include "adapter/StoreClient.h"
+#include "coordination/drain/VmDrain.h"
+#include "gateway/app/MetricsText.h"
+#include "gateway/control/ConfigFollower.h"
+#include "gateway/control/ControlServers.h"
+#include "gateway/control/ReplicaFollower.h"
+#include "gateway/control/VmRegistration.h"
+#include "gateway/peers/BeatExchange.h"
+#include "gateway/peers/PeerFetcher.h"
+#include "gateway/traffic/CallerService.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+namespace carawaypond::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
+
+constexpr Milliseconds TickInterval{100};
+/// How long callers keep an answer of the directory.
+constexpr Milliseconds AddressLifetime{2'000};
+/// How long other VMs may still name this one after it began to leave.
+constexpr Milliseconds SpreadTime{300};
+/// Before the platform kills the process, requests are refused, then cut.
+constexpr Milliseconds RefuseBeforeKill{1'400};
+constexpr Milliseconds ExitBeforeKill{350};
+/// Descriptors that are not for callers: replicas, peers, the store.
+constexpr std::size_t ReservedDescriptors = 1'024;
+
+Incarnation newIncarnation() {
+  auto Since = std::chrono::system_clock::now().time_since_epoch();
+  auto Micros = std::chrono::duration_cast<Microseconds>(Since).count();
+  return Incarnation(static_cast<std::uint64_t>(Micros));
+}
+
+TrafficOptions trafficOptions(const adapter::SiteSettings &Settings) {
+  TrafficOptions Options;
+  Options.CallerAddress = Settings.CallerAddress;
+  Options.MaxCallers = Settings.MaxDescriptors > 2 * ReservedDescriptors
+                           ? Settings.MaxDescriptors - ReservedDescriptors
+                           : Settings.MaxDescriptors / 2;
+  Options.Placement.Centre = Settings.Centre;
+  Options.Placement.Budget = Settings.Budget;
+  return Options;
+}
+
+ControlServerOptions serverOptions(const adapter::SiteSettings &Settings) {
+  return {.ReadyAddress = Settings.ReadyAddress,
+          .DirectoryAddress = Settings.DirectoryAddress,
+          .PeerAddress = Settings.PeerAddress,
+          .MetricsAddress =
+              Settings.Ip + ":" + std::to_string(Settings.LastInternalPort),
+          .AddressLifetime =
+              std::min(AddressLifetime, Settings.MaxAddressLifetime)};
+}
+
+} // namespace
+
+/// @brief The parts, in the order in which they are made.
+class Gateway::Impl {
+public:
+  explicit Impl(adapter::SiteSettings Given);
+
+  Result<void> open();
+  void run();
+
+private:
+  [[nodiscard]] VmRecord describe() const;
+  [[nodiscard]] Beat beat() const;
+  void publish(std::shared_ptr<const TrafficView> View);
+  void awaitSignal();
+  void beginStop();
+  void tick();
+  void stepDrain(TimePoint Now);
+  void apply(VmDrainAction Action);
+  void measureBusy();
+
+  adapter::SiteSettings m_Settings;
+  Incarnation m_Life = newIncarnation();
+  EventLog m_Log{EventLogOptions{}};
+  TrafficCounters m_Counters;
+  FollowOptions m_Follow;
+  asio::io_context m_ControlIo{1};
+  asio::io_context m_TrafficIo{1};
+  WorkGuard m_TrafficWork{m_TrafficIo.get_executor()};
+  asio::signal_set m_Signals{m_ControlIo, SIGTERM, SIGINT, SIGHUP};
+  asio::steady_timer m_Timer{m_ControlIo};
+  CallerService m_Callers;
+  FleetState m_State;
+  StoreHealth m_Health{m_Log};
+  adapter::StoreClient m_Store;
+  ConfigFollower m_Config;
+  ReplicaFollower m_Replicas;
+  PeerFetcher m_Fetcher;
+  BeatExchange m_Beats;
+  VmRegistration m_Registration;
+  ControlServers m_Servers;
+  VmDrain m_Drain{
+      {.SpreadTime = SpreadTime, .AddressLifetime = AddressLifetime}};
+  std::optional<TimePoint> m_StopBegunAt;
+  std::atomic<std::size_t> m_Busy = 1; ///< Connections at the last look.
+};
+
+Gateway::Impl::Impl(adapter::SiteSettings Given)
+    : m_Settings(std::move(Given)),
+      m_Callers(m_TrafficIo, trafficOptions(m_Settings), m_Counters, m_Log),
+      m_State(m_Settings.Vm, m_Log,
+              [this](std::shared_ptr<const TrafficView> View) {
+                publish(std::move(View));
+              }),
+      m_Store(m_ControlIo.get_executor(), m_Settings.StoreAddress),
+      m_Config(m_ControlIo, m_Store, m_State, m_Health, m_Follow),
+      m_Replicas(m_ControlIo, m_Store, m_State, m_Health, m_Log, m_Follow),
+      m_Fetcher(m_ControlIo, m_State, m_Health, m_Log, m_Settings.PeerAddress,
+                m_Settings.Seeds),
+      m_Beats(
+          m_ControlIo,
+          {.Ip = m_Settings.Ip, .Port = m_Settings.FirstInternalPort}, m_State,
+          [this] { return beat(); },
+          [this](const Beat &Heard) { m_Fetcher.onBeat(Heard); }),
+      m_Registration(m_ControlIo, m_Store, m_State, m_Log, describe(), m_Follow,
+                     [this] { m_Beats.tellAll(); }),
+      m_Servers(
+          m_ControlIo, serverOptions(m_Settings), m_State,
+          [this] { return describe(); },
+          [this] {
+            return metricsText(m_Counters, m_State, m_Store.counts(), m_Log);
+          }) {}
+
+VmRecord Gateway::Impl::describe() const {
+  VmRecord Self{.Name = m_Settings.Vm,
+                .Life = m_Life,
+                .Centre = m_Settings.Centre,
+                .PeerAddress = m_Settings.PeerAddress,
+                .CallerAddress = m_Settings.CallerAddress,
+                .OperatorAddress = {}};
+  if (m_StopBegunAt)
+    Self.State = VmState::Leaving;
+  else if (!m_State.isReady())
+    Self.State = VmState::Suspect;
+  return Self;
+}
+
+Beat Gateway::Impl::beat() const {
+  return {.Vm = describe(),
+          .ConfigVersion = m_State.configVersion(),
+          .ReplicaRevision = m_State.replicaRevision()};
+}
+
+Result<void> Gateway::Impl::open() {
+  Result<void> Started = m_Callers.start();
+  if (Started)
+    Started = m_Servers.start();
+  if (Started)
+    Started = m_Beats.start();
+  return Started;
+}
+
+void Gateway::Impl::publish(std::shared_ptr<const TrafficView> View) {
+  asio::post(m_TrafficIo, [this, View = std::move(View)]() mutable {
+    m_Callers.follow(std::move(View));
+  });
+}
+
+void Gateway::Impl::awaitSignal() {
+  m_Signals.async_wait([this](boost::system::error_code Failed, int Signal) {
+    if (Failed)
+      return;
+    LogLine Line("signal");
+    Line.add("number", Signal);
+    m_Log.write(Line);
+    if (Signal != SIGHUP)
+      beginStop();
+    awaitSignal();
+  });
+}
+
+void Gateway::Impl::beginStop() {
+  if (m_StopBegunAt)
+    return;
+  m_StopBegunAt = monotonicNow();
+  for (VmDrainAction Each : m_Drain.begin(*m_StopBegunAt))
+    apply(Each);
+}
+
+void Gateway::Impl::apply(VmDrainAction Action) {
+  switch (Action) {
+  case VmDrainAction::Announce:
+    m_Beats.tellAll();
+    asio::co_spawn(m_ControlIo, m_Registration.withdraw(), asio::detached);
+    asio::post(m_TrafficIo, [this] { m_Callers.beginLeaving(); });
+    return;
+  case VmDrainAction::StopListening:
+    return;
+  case VmDrainAction::CloseIdle:
+    asio::post(m_TrafficIo, [this] { m_Callers.closeIdle(); });
+    measureBusy();
+    return;
+  case VmDrainAction::Exit:
+    m_ControlIo.stop();
+    return;
+  }
+}
+
+void Gateway::Impl::measureBusy() {
+  asio::post(m_TrafficIo, [this] { m_Busy = m_Callers.busy(); });
+}
+
+void Gateway::Impl::stepDrain(TimePoint Now) {
+  for (VmDrainAction Each : m_Drain.tick(m_Busy, Now))
+    apply(Each);
+  Duration Stopping = Now - *m_StopBegunAt;
+  if (Stopping > m_Settings.GracePeriod - RefuseBeforeKill)
+    asio::post(m_TrafficIo, [this] { m_Callers.refuseNew(); });
+  if (Stopping > m_Settings.GracePeriod - ExitBeforeKill)
+    m_ControlIo.stop();
+}
+
+void Gateway::Impl::tick() {
+  m_State.tick();
+  if (m_State.isReady())
+    m_Drain.onReady();
+  if (m_StopBegunAt)
+    stepDrain(monotonicNow());
+  m_Log.flush();
+  m_Timer.expires_after(TickInterval);
+  m_Timer.async_wait([this](boost::system::error_code Stopped) {
+    if (!Stopped)
+      tick();
+  });
+}
+
+void Gateway::Impl::run() {
+  LogLine Started("started");
+  Started.add("vm", m_Settings.Vm.value());
+  Started.add("life", m_Life.value());
+  m_Log.write(Started);
+  awaitSignal();
+  asio::co_spawn(m_ControlIo, m_Config.run(), asio::detached);
+  asio::co_spawn(m_ControlIo, m_Replicas.run(), asio::detached);
+  asio::co_spawn(m_ControlIo, m_Registration.run(), asio::detached);
+  asio::co_spawn(m_ControlIo, m_Fetcher.runUntilReady(), asio::detached);
+  tick();
+  std::thread Traffic([this] { m_TrafficIo.run(); });
+  m_ControlIo.run();
+  m_TrafficIo.stop();
+  Traffic.join();
+  m_Log.write(LogLine("stopped"));
+  m_Log.flush();
+}
+
+Gateway::Gateway(std::unique_ptr<Impl> Pimpl) : m_Impl(std::move(Pimpl)) {}
+
+Gateway::~Gateway() = default;
+
+Result<std::unique_ptr<Gateway>> Gateway::open(adapter::SiteSettings Settings) {
+  auto Made = std::make_unique<Impl>(std::move(Settings));
+  if (Result<void> Opened = Made->open(); !Opened)
+    return boost::outcome_v2::failure(Opened.error());
+  return std::unique_ptr<Gateway>(new Gateway(std::move(Made)));
+}
+
+void Gateway::run() { m_Impl->run(); }
+
+} // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/app/MetricsText.cpp
@@ -0,0 +1,45 @@
+#include "gateway/app/MetricsText.h"
+
+namespace carawaypond::gateway {
+
+namespace {
+
+void addLine(std::string &Text, std::string_view Name, std::uint64_t Value) {
+  Text.append("carawaypond_").append(Name).append(" ");
+  Text.append(std::to_string(Value)).append("\n");
+}
+
+} // namespace
+
+std::string metricsText(const TrafficCounters &Counters,
+                        const FleetState &State,
+                        const adapter::StoreCallCounts &Calls,
+                        const EventLog &Log) {
+  std::string Text;
+  addLine(Text, "requests_total", Counters.Requests);
+  addLine(Text, "requests_in_flight", Counters.InFlight);
+  addLine(Text, "answers_complete_total", Counters.Complete);
+  addLine(Text, "answers_partial_total", Counters.Partial);
+  addLine(Text, "answers_replica_failure_total", Counters.ReplicaFailures);
+  addLine(Text, "answers_refused_total", Counters.Refused);
+  addLine(Text, "answers_failed_total", Counters.Failed);
+  addLine(Text, "answers_not_found_total", Counters.NotFound);
+  addLine(Text, "callers_gone_total", Counters.CallersGone);
+  addLine(Text, "attempts_total", Counters.Attempts);
+  addLine(Text, "attempts_extra_total", Counters.ExtraAttempts);
+  addLine(Text, "attempts_refused_total", Counters.AttemptsRefused);
+  addLine(Text, "attempts_lost_total", Counters.AttemptsLost);
+  addLine(Text, "attempts_abandoned_total", Counters.AttemptsAbandoned);
+  addLine(Text, "replica_connections_opened_total", Counters.Connections);
+  addLine(Text, "config_version", State.configVersion());
+  addLine(Text, "replicas_known", State.replicas().entries().size());
+  addLine(Text, "vms_known", State.vms().known().size() + 1);
+  addLine(Text, "store_reads_total", Calls.Reads);
+  addLine(Text, "store_watches_total", Calls.Watches);
+  addLine(Text, "store_writes_total", Calls.Writes);
+  addLine(Text, "store_calls_failed_total", Calls.Failed);
+  addLine(Text, "log_lines_left_out_total", Log.dropped());
+  return Text;
+}
+
+} // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/app/MetricsText.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "adapter/StoreClient.h"
+#include "gateway/control/FleetState.h"
+#include "gateway/log/EventLog.h"
+#include "gateway/traffic/TrafficCounters.h"
+
+#include <string>
+
+namespace carawaypond::gateway {
+
+/// @return The counters in the Prometheus text format.
+[[nodiscard]] std::string metricsText(const TrafficCounters &Counters,
+                                      const FleetState &State,
+                                      const adapter::StoreCallCounts &Calls,
+                                      const EventLog &Log);
+
+} // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/app/fwd.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace carawaypond::gateway {
+
+class Gateway;
+
+} // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/control/FleetState.cpp
@@ -0,0 +1,112 @@
+#include "gateway/control/FleetState.h"
+
+#include "adapter/ConfigCodec.h"
+
+namespace carawaypond::gateway {
+
+FleetState::FleetState(VmName Self, EventLog &Log, Publish OnChange)
+    : m_Log(Log), m_OnChange(std::move(OnChange)),
+      m_Vms(std::move(Self), VmBoardOptions{}) {}
+
+std::uint64_t FleetState::configVersion() const {
+  return m_Table ? m_Table->version().value() : 0;
+}
+
+void FleetState::applyConfig(const nlohmann::json &Document,
+                             std::string_view Source) {
+  auto Read = adapter::decodeConfig(Document);
+  if (!Read) {
+    LogLine Line("config_unreadable");
+    Line.add("source", Source);
+    Line.add("why", Read.error().Message);
+    m_Log.write(Line);
+    return;
+  }
+  if (m_Table && Read.value().version() <= m_Table->version())
+    return;
+  m_Table = std::make_shared<const RoutingTable>(std::move(Read.value()));
+  m_ConfigDocument = Document;
+  m_IsDirty = true;
+  LogLine Line("config_applied");
+  Line.add("version", configVersion());
+  Line.add("routes", static_cast<std::uint64_t>(m_Table->routes().size()));
+  Line.add("source", Source);
+  m_Log.write(Line);
+}
+
+void FleetState::replaceReplicas(std::vector<ReplicaRecord> Listed,
+                                 std::uint64_t Revision,
+                                 std::string_view Source) {
+  LogLine Line("replicas_listed");
+  Line.add("count", static_cast<std::uint64_t>(Listed.size()));
+  Line.add("revision", Revision);
+  Line.add("source", Source);
+  m_Log.write(Line);
+  bool Changed = m_Book.replaceAll(std::move(Listed), monotonicNow());
+  m_ReplicaRevision = Revision;
+  m_IsDirty = m_IsDirty || Changed || !m_HasReplicas;
+  m_HasReplicas = true;
+}
+
+void FleetState::putReplica(ReplicaRecord Record) {
+  LogLine Line("replica_changed");
+  Line.add("replica", Record.Id.value());
+  Line.add("service", Record.Service.value());
+  Line.add("leaving", Record.State == ReplicaState::Leaving);
+  Line.add("warmup_ms", Record.WarmupLeft.count());
+  if (!m_Book.put(std::move(Record)))
+    return;
+  m_Log.write(Line);
+  m_IsDirty = true;
+}
+
+void FleetState::removeReplica(const ServerName &Id) {
+  bool Changed = m_Book.remove(Id, monotonicNow());
+  LogLine Line(Changed ? "replica_gone" : "replica_missing");
+  Line.add("replica", Id.value());
+  m_Log.write(Line);
+  m_IsDirty = m_IsDirty || Changed;
+}
+
+void FleetState::onStoreLost() { m_Book.onStoreLost(); }
+
+void FleetState::onStoreAnswered() { m_Book.onStoreAnswered(monotonicNow()); }
+
+bool FleetState::onBeat(const VmRecord &Record) {
+  return m_Vms.onBeat(Record, monotonicNow());
+}
+
+void FleetState::onVmRecord(const VmRecord &Record) {
+  m_Vms.onRecord(Record, monotonicNow());
+}
+
+void FleetState::tick() {
+  TimePoint Now = monotonicNow();
+  m_IsDirty = m_Book.expire(Now) || m_IsDirty;
+  m_Vms.expire(Now);
+  std::size_t Sharing = m_Vms.sharing(Now);
+  if (Sharing != m_Sharing) {
+    LogLine Line("vms_changed");
+    Line.add("vms", static_cast<std::uint64_t>(Sharing));
+    m_Log.write(Line);
+    m_Sharing = Sharing;
+    m_IsDirty = true;
+  }
+  publish();
+}
+
+void FleetState::publish() {
+  if (!m_IsDirty)
+    return;
+  m_IsDirty = false;
+  ++m_Changes;
+  auto View = std::make_shared<TrafficView>();
+  View->Table = m_Table;
+  for (const auto &[Id, Record] : m_Book.entries())
+    View->Replicas.push_back(Record);
+  View->Vms = m_Sharing;
+  View->HasReplicas = m_HasReplicas;
+  m_OnChange(std::move(View));
+}
+
+} // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/control/FleetState.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "coordination/fleet/VmBoard.h"
+#include "coordination/replicas/ReplicaBook.h"
+#include "coordination/routing/RoutingTable.h"
+#include "gateway/log/EventLog.h"
+#include "gateway/traffic/TrafficView.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace carawaypond::gateway {
+
+/// @brief What this VM knows of the configuration, the replicas and the other
+/// VMs. Belongs to the control thread.
+class FleetState {
+public:
+  using Publish = std::function<void(std::shared_ptr<const TrafficView>)>;
+
+  /// @param OnChange Gets a new view whenever traffic has to know.
+  FleetState(VmName Self, EventLog &Log, Publish OnChange);
+
+  [[nodiscard]] const std::shared_ptr<const RoutingTable> &table() const {
+    return m_Table;
+  }
+  /// @return The configuration as the store holds it.
+  [[nodiscard]] const nlohmann::json &configDocument() const {
+    return m_ConfigDocument;
+  }
+  [[nodiscard]] std::uint64_t configVersion() const;
+  /// @return The store's revision up to which the replicas are known.
+  [[nodiscard]] std::uint64_t replicaRevision() const {
+    return m_ReplicaRevision;
+  }
+  [[nodiscard]] const ReplicaBook &replicas() const { return m_Book; }
+  [[nodiscard]] const VmBoard &vms() const { return m_Vms; }
+  /// @return How many views were published.
+  [[nodiscard]] std::uint64_t changes() const { return m_Changes; }
+  /// @return Whether requests can be served.
+  [[nodiscard]] bool isReady() const { return m_Table && m_HasReplicas; }
+
+  /// @brief Takes a configuration unless it is older than the one in force.
+  /// @param Source Where it came from, for the log.
+  void applyConfig(const nlohmann::json &Document, std::string_view Source);
+  void replaceReplicas(std::vector<ReplicaRecord> Listed,
+                       std::uint64_t Revision, std::string_view Source);
+  void putReplica(ReplicaRecord Record);
+  void removeReplica(const ServerName &Id);
+  void setReplicaRevision(std::uint64_t Revision) {
+    m_ReplicaRevision = Revision;
+  }
+  void onStoreLost();
+  void onStoreAnswered();
+  /// @brief Takes a heartbeat.
+  /// @return Whether its sender is new.
+  bool onBeat(const VmRecord &Record);
+  void onVmRecord(const VmRecord &Record);
+  /// @brief Looks at what time has changed.
+  void tick();
+  /// @brief Publishes changes that have piled up.
+  void publish();
+
+private:
+  EventLog &m_Log;
+  Publish m_OnChange;
+  std::shared_ptr<const RoutingTable> m_Table;
+  nlohmann::json m_ConfigDocument;
+  ReplicaBook m_Book{ReplicaBookOptions{}};
+  std::uint64_t m_ReplicaRevision = 0;
+  VmBoard m_Vms;
+  std::size_t m_Sharing = 1;
+  std::uint64_t m_Changes = 0;
+  bool m_HasReplicas = false;
+  bool m_IsDirty = false;
+};
+
+} // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/control/ReplicaFollower.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "adapter/StoreClient.h"
+#include "coordination/watch/WatchCursor.h"
+#include "gateway/control/FleetState.h"
+#include "gateway/control/FollowOptions.h"
+#include "gateway/control/RetryPause.h"
+#include "gateway/control/StoreHealth.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+namespace carawaypond::gateway {
+
+/// @brief Keeps the known replicas equal to the entries in the store.
+class ReplicaFollower {
+public:
+  ReplicaFollower(boost::asio::io_context &Context, adapter::StoreClient &Store,
+                  FleetState &State, StoreHealth &Health, EventLog &Log,
+                  const FollowOptions &Options);
+
+  /// @brief Follows for ever.
+  boost::asio::awaitable<void> run();
+
+private:
+  boost::asio::awaitable<bool> list();
+  boost::asio::awaitable<bool> watch();
+  void apply(const adapter::DocumentChange &Change);
+  void onFailed(const Error &Why);
+  void onAnswered();
+  void logUnreadable(const std::string &Name);
+
+  adapter::StoreClient &m_Store;
+  FleetState &m_State;
+  StoreHealth &m_Health;
+  EventLog &m_Log;
+  FollowOptions m_Options;
+  RetryPause m_Pause;
+  WatchCursor m_Cursor;
+};
+
+} // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/peers/BeatExchange.cpp
@@ -0,0 +1,85 @@
+#include "gateway/peers/BeatExchange.h"
+
+#include "http/Endpoint.h"
+
+#include <boost/asio/buffer.hpp>
+
+namespace carawaypond::gateway {
+
+using boost::asio::ip::udp;
+using boost::system::error_code;
+
+BeatExchange::BeatExchange(boost::asio::io_context &Context,
+                           BeatOptions Options, FleetState &State, Own Describe,
+                           OnBeat Heard)
+    : m_Socket(Context), m_Timer(Context), m_Options(std::move(Options)),
+      m_State(State), m_Describe(std::move(Describe)),
+      m_Heard(std::move(Heard)) {}
+
+Result<void> BeatExchange::start() {
+  error_code Failed;
+  auto Ip = boost::asio::ip::make_address(m_Options.Ip, Failed);
+  if (!Failed)
+    m_Socket.open(udp::v4(), Failed);
+  if (!Failed)
+    m_Socket.bind(udp::endpoint(Ip, m_Options.Port), Failed);
+  if (!Failed)
+    m_Socket.non_blocking(true, Failed);
+  if (Failed)
+    return failure(ErrorCode::Unavailable, "can't take heartbeats on " +
+                                               m_Options.Ip + ": " +
+                                               Failed.message());
+  receive();
+  schedule();
+  return success();
+}
+
+void BeatExchange::schedule() {
+  m_Timer.expires_after(m_Options.Interval);
+  m_Timer.async_wait([this](error_code Stopped) {
+    if (Stopped)
+      return;
+    tellAll();
+    schedule();
+  });
+}
+
+void BeatExchange::tellAll() {
+  for (const VmRecord &Each : m_State.vms().known())
+    tell(Each.PeerAddress);
+}
+
+void BeatExchange::tell(const std::string &PeerAddress) {
+  auto Remote = http::parseEndpoint(PeerAddress);
+  if (!Remote)
+    return;
+  udp::endpoint To(Remote.value().address(), m_Options.Port);
+  std::string Text = encodeBeat(m_Describe());
+  // A heartbeat that can't be sent now is as good as lost on the way.
+  error_code Ignored;
+  m_Socket.send_to(boost::asio::buffer(Text), To, 0, Ignored);
+}
+
+void BeatExchange::receive() {
+  m_Socket.async_receive_from(boost::asio::buffer(m_Buffer), m_Sender,
+                              [this](error_code Failed, std::size_t Bytes) {
+                                if (Failed ==
+                                    boost::asio::error::operation_aborted)
+                                  return;
+                                if (!Failed)
+                                  onDatagram(Bytes);
+                                receive();
+                              });
+}
+
+void BeatExchange::onDatagram(std::size_t Bytes) {
+  auto Read = decodeBeat(std::string_view(m_Buffer.data(), Bytes));
+  if (!Read)
+    return;
+  bool IsNew = m_State.onBeat(Read->Vm);
+  if (IsNew)
+    tell(Read->Vm.PeerAddress);
+  m_Heard(*Read);
+}
+
+} // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/peers/PeerFetcher.cpp
@@ -0,0 +1,102 @@
+#include "gateway/peers/PeerFetcher.h"
+
+#include "gateway/peers/PeerState.h"
+#include "http/Connection.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace carawaypond::gateway {
+
+using boost::asio::awaitable;
+
+namespace {
+
+constexpr auto AsTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+/// How long a starting VM waits for the store before it asks other VMs.
+constexpr Milliseconds StorePatience{400};
+constexpr Milliseconds RoundPause{300};
+constexpr Milliseconds FetchTimeout{700};
+constexpr unsigned Ok = 200;
+
+} // namespace
+
+PeerFetcher::PeerFetcher(boost::asio::io_context &Context, FleetState &State,
+                         const StoreHealth &Health, EventLog &Log,
+                         std::string OwnAddress, std::vector<std::string> Seeds)
+    : m_Context(Context), m_State(State), m_Health(Health), m_Log(Log),
+      m_OwnAddress(std::move(OwnAddress)), m_Seeds(std::move(Seeds)) {}
+
+std::vector<std::string> PeerFetcher::addresses() const {
+  std::vector<std::string> Addresses;
+  for (const std::string &Each : m_Seeds)
+    if (Each != m_OwnAddress)
+      Addresses.push_back(Each);
+  for (const VmRecord &Each : m_State.vms().known())
+    Addresses.push_back(Each.PeerAddress);
+  return Addresses;
+}
+
+awaitable<void> PeerFetcher::runUntilReady() {
+  boost::asio::steady_timer Timer(m_Context);
+  Milliseconds Pause = StorePatience;
+  while (!m_State.isReady()) {
+    Timer.expires_after(Pause);
+    co_await Timer.async_wait(AsTuple);
+    Pause = RoundPause;
+    std::vector<std::string> Asked = addresses();
+    for (std::size_t I = 0; I < Asked.size() && !m_State.isReady(); ++I)
+      co_await fetch(Asked[I]);
+  }
+}
+
+void PeerFetcher::onBeat(const Beat &Heard) {
+  bool IsNewer = Heard.ConfigVersion > m_State.configVersion() ||
+                 Heard.ReplicaRevision > m_State.replicaRevision();
+  if (!IsNewer || !m_Health.isLost() || m_IsFetching)
+    return;
+  boost::asio::co_spawn(m_Context, fetch(Heard.Vm.PeerAddress),
+                        boost::asio::detached);
+}
+
+awaitable<void> PeerFetcher::fetch(std::string Address) {
+  m_IsFetching = true;
+  TimePoint Deadline = monotonicNow() + FetchTimeout;
+  http::Connection Peer(m_Context.get_executor(), Address);
+  auto Connected = co_await Peer.connect(Deadline);
+  std::optional<PeerState> State;
+  std::string Why;
+  if (Connected) {
+    http::Request Asked;
+    Asked.Path = Path;
+    auto Answer = co_await Peer.roundTrip(std::move(Asked), Deadline);
+    if (Answer && Answer.value().Status == Ok)
+      State = decodePeerState(Answer.value().Body);
+    if (!Answer)
+      Why = Answer.error().Message;
+  } else {
+    Why = Connected.error().Message;
+  }
+  m_IsFetching = false;
+  LogLine Line("state_fetched");
+  Line.add("from", Address);
+  Line.add("succeeded", State.has_value());
+  Line.add("why", Why);
+  m_Log.write(Line);
+  if (!State)
+    co_return;
+  for (const VmRecord &Each : State->Vms)
+    m_State.onVmRecord(Each);
+  if (!State->Config.is_null())
+    m_State.applyConfig(State->Config, "peer");
+  bool IsNewer = State->ReplicaRevision > m_State.replicaRevision();
+  if (IsNewer && (m_Health.isLost() || !m_State.isReady()))
+    m_State.replaceReplicas(std::move(State->Replicas), State->ReplicaRevision,
+                            "peer");
+  m_State.publish();
+}
+
+} // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
@@ -0,0 +1,165 @@
+#include "gateway/pool/ReplicaConnection.h"
+
+#include "core/invariant/Invariant.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace carawaypond::gateway {
+
+namespace beast_http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/// Answers to other requests that may precede the one that is waited for.
+constexpr unsigned MaxSkipped = 3;
+constexpr unsigned FirstFinalStatus = 200;
+
+/// @return Whether the socket has nothing to read, not even its end.
+bool isQuiet(int Socket) {
+  char Byte = 0;
+  ssize_t Got = ::recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+ReplicaConnection::ReplicaConnection(boost::asio::io_context &Context,
+                                     tcp::endpoint Remote,
+                                     const PoolOptions &Options)
+    : m_Socket(Context), m_ConnectTimer(Context), m_Remote(std::move(Remote)),
+      m_Options(Options) {}
+
+bool ReplicaConnection::isReusable(bool IsIdempotent, TimePoint Now) {
+  if (!m_MayReuse || !m_IsConnected || m_Current)
+    return false;
+  Milliseconds Margin =
+      IsIdempotent ? m_Options.IdleMargin : m_Options.StrictIdleMargin;
+  Milliseconds Timeout = m_IdleTimeout.value_or(m_Options.DefaultIdleTimeout);
+  if (Now - m_IdleSince >= Timeout - Margin)
+    return false;
+  return isQuiet(m_Socket.native_handle());
+}
+
+void ReplicaConnection::start(Exchange Request) {
+  CARAWAYPOND_INVARIANT(!m_Current, "two requests on one connection");
+  m_Current = std::move(Request);
+  ++m_Serial;
+  m_Skipped = 0;
+  m_IsWritten = false;
+  if (m_IsConnected)
+    write();
+  else
+    connect();
+}
+
+void ReplicaConnection::connect() {
+  error_code Failed;
+  m_Socket.open(m_Remote.protocol(), Failed);
+  if (Failed)
+    return boost::asio::post(m_Socket.get_executor(),
+                             [Self = shared_from_this(), Failed] {
+                               if (Self->m_Current)
+                                 Self->fail(false, Failed.message());
+                             });
+  m_Socket.set_option(tcp::no_delay(true), Failed);
+  m_ConnectTimer.expires_after(m_Options.ConnectTimeout);
+  m_ConnectTimer.async_wait([Self = shared_from_this()](error_code Stopped) {
+    if (!Stopped && !Self->m_IsConnected)
+      Self->fail(false, "no connection in time");
+  });
+  m_Socket.async_connect(m_Remote,
+                         [Self = shared_from_this()](error_code ConnectFailed) {
+                           Self->m_ConnectTimer.cancel();
+                           if (!Self->m_Current)
+                             return;
+                           if (ConnectFailed)
+                             return Self->fail(false, ConnectFailed.message());
+                           Self->m_IsConnected = true;
+                           Self->write();
+                         });
+}
+
+void ReplicaConnection::write() {
+  boost::asio::async_write(m_Socket, boost::asio::buffer(m_Current->Text),
+                           [Self = shared_from_this(), Serial = m_Serial](
+                               error_code Failed, std::size_t Bytes) {
+                             if (!Self->m_Current || Self->m_Serial != Serial)
+                               return;
+                             Self->m_IsWritten = !Failed;
+                             if (Failed && Bytes == 0)
+                               return Self->fail(false, Failed.message());
+                           });
+  read();
+}
+
+void ReplicaConnection::read() {
+  m_Parser.emplace();
+  m_Parser->skip(m_Current->IsHead);
+  m_Parser->header_limit(static_cast<std::uint32_t>(m_Options.MaxHeaderBytes));
+  m_Parser->body_limit(m_Options.MaxBodyBytes);
+  beast_http::async_read(m_Socket, m_Buffer, *m_Parser,
+                         [Self = shared_from_this(),
+                          Serial = m_Serial](error_code Failed, std::size_t) {
+                           if (Self->m_Current && Self->m_Serial == Serial)
+                             Self->onRead(Failed);
+                         });
+}
+
+void ReplicaConnection::onRead(error_code Failed) {
+  if (Failed)
+    return fail(true, Failed.message());
+  if (m_Parser->get().result_int() < FirstFinalStatus)
+    return read();
+  adapter::ReplicaReply Reply = adapter::decodeReply(m_Parser->release());
+  bool IsOther =
+      !Reply.RequestId.empty() && Reply.RequestId != m_Current->RequestId;
+  if (!IsOther)
+    return succeed(std::move(Reply));
+  m_MayReuse = false;
+  if (++m_Skipped > MaxSkipped || !Reply.KeepsAlive)
+    return fail(true, "answers to other requests");
+  read();
+}
+
+void ReplicaConnection::succeed(adapter::ReplicaReply Reply) {
+  bool IsClean = m_IsWritten && m_Buffer.size() == 0;
+  m_MayReuse = m_MayReuse && Reply.KeepsAlive && IsClean;
+  m_IdleTimeout = Reply.IdleTimeout;
+  m_IdleSince = monotonicNow();
+  auto Done = std::move(m_Current->Done);
+  m_Current.reset();
+  if (!m_MayReuse)
+    close();
+  Done(std::move(Reply));
+}
+
+void ReplicaConnection::fail(bool WasSent, const std::string &Why) {
+  auto Done = std::move(m_Current->Done);
+  m_Current.reset();
+  close();
+  Done(ExchangeFailure{.WasSent = WasSent, .Why = Why});
+}
+
+void ReplicaConnection::cancel() {
+  m_Current.reset();
+  close();
+}
+
+void ReplicaConnection::close() {
+  m_MayReuse = false;
+  m_IsConnected = false;
+  m_ConnectTimer.cancel();
+  error_code Ignored;
+  m_Socket.close(Ignored);
+}
+
+} // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "adapter/ReplyCodec.h"
+#include "core/time/Time.h"
+#include "gateway/pool/Exchange.h"
+#include "gateway/pool/PoolOptions.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace carawaypond::gateway {
+
+/// @brief A connection to a replica, for one request at a time. Belongs to the
+/// thread that runs the io_context.
+class ReplicaConnection
+    : public std::enable_shared_from_this<ReplicaConnection> {
+public:
+  ReplicaConnection(boost::asio::io_context &Context,
+                    boost::asio::ip::tcp::endpoint Remote,
+                    const PoolOptions &Options);
+
+  /// @return Whether another request may be sent on it.
+  /// @param IsIdempotent Whether that request may be repeated if the replica
+  /// closes the connection at the same moment.
+  [[nodiscard]] bool isReusable(bool IsIdempotent, TimePoint Now);
+  [[nodiscard]] bool isBusy() const { return m_Current.has_value(); }
+
+  /// @brief Sends a request, after connecting if need be.
+  void start(Exchange Request);
+  /// @brief Closes at once; the current request's Done is not called.
+  void cancel();
+
+private:
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void connect();
+  void write();
+  void read();
+  void onRead(boost::system::error_code Failed);
+  void fail(bool WasSent, const std::string &Why);
+  void succeed(adapter::ReplicaReply Reply);
+  void close();
+
+  boost::asio::ip::tcp::socket m_Socket;
+  boost::asio::steady_timer m_ConnectTimer;
+  boost::asio::ip::tcp::endpoint m_Remote;
+  PoolOptions m_Options;
+  boost::beast::flat_buffer m_Buffer;
+  std::optional<Parser> m_Parser;
+  std::optional<Exchange> m_Current;
+  std::uint64_t m_Serial = 0; ///< Of the current request; tells late events.
+  unsigned m_Skipped = 0;     ///< Answers to other requests.
+  bool m_IsConnected = false;
+  bool m_IsWritten = false;
+  bool m_MayReuse = true;
+  TimePoint m_IdleSince;
+  std::optional<Milliseconds> m_IdleTimeout;
+};
+
+} // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/pool/ReplicaPool.cpp
@@ -0,0 +1,114 @@
+#include "gateway/pool/ReplicaPool.h"
+
+#include <algorithm>
+
+namespace carawaypond::gateway {
+
+ReplicaPool::ReplicaPool(boost::asio::io_context &Context,
+                         boost::asio::ip::tcp::endpoint Remote,
+                         PoolOptions Options)
+    : m_Context(Context), m_Remote(std::move(Remote)), m_Options(Options) {}
+
+ReplicaPool::~ReplicaPool() {
+  *m_IsAlive = false;
+  for (Slot &Each : m_Open)
+    if (!Each.Connection->isBusy())
+      Each.Connection->cancel();
+}
+
+std::shared_ptr<ReplicaConnection> ReplicaPool::acquire(bool IsIdempotent) {
+  TimePoint Now = monotonicNow();
+  for (std::size_t I = m_Open.size(); I > 0; --I) {
+    Slot &Each = m_Open[I - 1];
+    if (Each.Connection->isBusy())
+      continue;
+    if (Each.Connection->isReusable(IsIdempotent, Now))
+      return Each.Connection;
+    Each.Connection->cancel();
+    m_Open.erase(m_Open.begin() + static_cast<std::ptrdiff_t>(I) - 1);
+  }
+  if (m_Open.size() >= m_Limit)
+    return nullptr;
+  auto Made =
+      std::make_shared<ReplicaConnection>(m_Context, m_Remote, m_Options);
+  m_Open.push_back({.Connection = Made});
+  ++m_Opened;
+  return Made;
+}
+
+ReplicaPool::Ticket ReplicaPool::send(Exchange Request) {
+  Ticket Id = m_NextTicket++;
+  if (auto Free = acquire(Request.IsIdempotent))
+    start(std::move(Free), Id, std::move(Request));
+  else
+    m_Waiting.push_back({.Id = Id, .Request = std::move(Request)});
+  return Id;
+}
+
+void ReplicaPool::start(std::shared_ptr<ReplicaConnection> On, Ticket Id,
+                        Exchange Request) {
+  for (Slot &Each : m_Open)
+    if (Each.Connection == On)
+      Each.Current = Id;
+  auto Done = std::move(Request.Done);
+  Request.Done = [this, Id, IsAlive = m_IsAlive,
+                  Done = std::move(Done)](ExchangeResult How) {
+    if (*IsAlive)
+      onDone(Id);
+    Done(std::move(How));
+  };
+  On->start(std::move(Request));
+}
+
+void ReplicaPool::onDone(Ticket Id) {
+  for (Slot &Each : m_Open)
+    if (Each.Current == Id)
+      Each.Current = 0;
+  TimePoint Now = monotonicNow();
+  std::erase_if(m_Open, [Now](const Slot &Each) {
+    return Each.Current == 0 && !Each.Connection->isReusable(true, Now);
+  });
+  startWaiting();
+}
+
+void ReplicaPool::startWaiting() {
+  while (!m_Waiting.empty()) {
+    auto Free = acquire(m_Waiting.front().Request.IsIdempotent);
+    if (!Free)
+      return;
+    Waiting Next = std::move(m_Waiting.front());
+    m_Waiting.pop_front();
+    start(std::move(Free), Next.Id, std::move(Next.Request));
+  }
+}
+
+bool ReplicaPool::cancel(Ticket Which) {
+  auto Queued =
+      std::find_if(m_Waiting.begin(), m_Waiting.end(),
+                   [Which](const Waiting &Each) { return Each.Id == Which; });
+  if (Queued != m_Waiting.end()) {
+    m_Waiting.erase(Queued);
+    return false;
+  }
+  auto Found =
+      std::find_if(m_Open.begin(), m_Open.end(),
+                   [Which](const Slot &Each) { return Each.Current == Which; });
+  if (Found == m_Open.end())
+    return true;
+  Found->Connection->cancel();
+  m_Open.erase(Found);
+  startWaiting();
+  return true;
+}
+
+void ReplicaPool::closeStale(TimePoint Now) {
+  for (Slot &Each : m_Open)
+    if (!Each.Connection->isBusy() && !Each.Connection->isReusable(true, Now))
+      Each.Connection->cancel();
+  std::erase_if(m_Open, [Now](const Slot &Each) {
+    return !Each.Connection->isBusy() &&
+           !Each.Connection->isReusable(true, Now);
+  });
+}
+
+} // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
@@ -0,0 +1,295 @@
+#include "gateway/traffic/ActiveRequest.h"
+
+#include "adapter/ReplyCodec.h"
+#include "adapter/RequestCodec.h"
+#include "coordination/records/GreatestRecords.h"
+#include "http/ErrorResponse.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace carawaypond::gateway {
+
+using boost::asio::awaitable;
+
+namespace {
+
+constexpr auto AsTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+constexpr unsigned FirstError = 300;
+constexpr unsigned BadGateway = 502;
+constexpr unsigned GatewayTimeout = 504;
+
+AttemptResult classify(const adapter::ReplicaReply &Reply) {
+  constexpr unsigned Misdirected = 421;
+  if (Reply.Status == Misdirected)
+    return AttemptResult::Misplaced;
+  if (Reply.IsNotRun)
+    return AttemptResult::NotRun;
+  bool IsWhole = !Reply.Signature.empty() && !Reply.IsEncoded;
+  if (!IsWhole)
+    return AttemptResult::Lost;
+  return Reply.Status < FirstError ? AttemptResult::Served
+                                   : AttemptResult::ServerFailed;
+}
+
+std::string_view nameOf(AttemptResult How) {
+  switch (How) {
+  case AttemptResult::Served:
+    return "served";
+  case AttemptResult::ServerFailed:
+    return "server_failed";
+  case AttemptResult::NotRun:
+    return "refused";
+  case AttemptResult::Misplaced:
+    return "misplaced";
+  case AttemptResult::NeverSent:
+    return "never_sent";
+  case AttemptResult::Lost:
+    return "lost";
+  case AttemptResult::Abandoned:
+    return "abandoned";
+  }
+  return "unknown";
+}
+
+std::string_view nameOf(RefusalReason Why) {
+  switch (Why) {
+  case RefusalReason::NoReplica:
+    return "no_replica";
+  case RefusalReason::ReplicasBusy:
+    return "replicas_busy";
+  case RefusalReason::Leaving:
+    return "leaving";
+  case RefusalReason::NotReady:
+    return "not_ready";
+  }
+  return "unknown";
+}
+
+std::string_view nameOf(FailureReason Why) {
+  switch (Why) {
+  case FailureReason::ReplicaLost:
+    return "replica_lost";
+  case FailureReason::TimedOut:
+    return "timed_out";
+  case FailureReason::TooFewShards:
+    return "too_few_shards";
+  }
+  return "unknown";
+}
+
+std::int64_t millis(Duration Time) {
+  return std::chrono::duration_cast<Milliseconds>(Time).count();
+}
+
+} // namespace
+
+ActiveRequest::ActiveRequest(TrafficParts Parts, adapter::CallerRequest Asked,
+                             RunPlan Plan, SubrequestId FirstId,
+                             const RunOptions &Options)
+    : m_Parts(Parts), m_Asked(std::move(Asked)),
+      m_Run(std::move(Plan), Parts.Fleet, FirstId, Options, monotonicNow()),
+      m_StartedAt(monotonicNow()), m_Timer(Parts.Context),
+      m_Answered(Parts.Context) {
+  m_Attempts.reserve(m_Run.plan().Services.size() + 2);
+}
+
+awaitable<http::Response> ActiveRequest::run() {
+  auto Self = shared_from_this();
+  m_Answered.expires_at(TimePoint::max());
+  if (m_Asked.Caller)
+    m_Asked.Caller->onGone([Self] { Self->onCallerGone(); });
+  apply(m_Run.start(m_StartedAt));
+  schedule();
+  while (!m_Answer)
+    co_await m_Answered.async_wait(AsTuple);
+  co_return std::move(*m_Answer);
+}
+
+ActiveRequest::Attempt *ActiveRequest::find(SubrequestId Id) {
+  for (Attempt &Each : m_Attempts)
+    if (Each.Id == Id)
+      return &Each;
+  return nullptr;
+}
+
+void ActiveRequest::apply(RunActions Actions) {
+  for (const RunAction &Each : Actions)
+    std::visit([this](const auto &Action) { apply(Action); }, Each);
+}
+
+void ActiveRequest::apply(const SendAttempt &Action) {
+  TimePoint Now = monotonicNow();
+  ++m_Parts.Counters.Attempts;
+  if (Action.IsExtra)
+    ++m_Parts.Counters.ExtraAttempts;
+  m_Attempts.push_back({.Id = Action.Id,
+                        .Replica = Action.Replica,
+                        .Pool = m_Parts.Links.find(Action.Replica),
+                        .SentAt = Now,
+                        .Reply = {},
+                        .Note = {}});
+  auto Left = std::chrono::ceil<Milliseconds>(m_Run.deadline() - Now);
+  Exchange Request;
+  Request.Text = adapter::encodeSubrequest(m_Asked, Action.Replica, Left);
+  Request.RequestId = m_Asked.Id;
+  Request.IsHead = m_Asked.IsHead;
+  Request.IsIdempotent = m_Run.route().Kind == RequestKind::Idempotent;
+  Request.Done = [Self = shared_from_this(),
+                  Id = Action.Id](ExchangeResult How) {
+    Self->onExchange(Id, std::move(How));
+  };
+  auto Pool = m_Attempts.back().Pool;
+  if (!Pool)
+    return end(Action.Id, AttemptResult::NeverSent);
+  std::uint64_t Before = Pool->opened();
+  ReplicaPool::Ticket Ticket = Pool->send(std::move(Request));
+  m_Parts.Counters.Connections += Pool->opened() - Before;
+  if (Attempt *Sent = find(Action.Id))
+    Sent->Ticket = Ticket;
+}
+
+void ActiveRequest::apply(const AbandonAttempt &Action) {
+  Attempt *Given = find(Action.Id);
+  if (Given != nullptr)
+    Given->AbandonAt = monotonicNow() + Action.Grace;
+}
+
+void ActiveRequest::apply(const AnswerParts &Action) {
+  GreatestRecords Records(Action.TopRecords);
+  std::vector<std::string_view> Signatures;
+  for (SubrequestId Part : Action.Parts) {
+    const Attempt *Made = find(Part);
+    Records.add(Made->Reply->Body);
+    Signatures.push_back(Made->Reply->Signature);
+  }
+  ++(Action.Missing == 0 ? m_Parts.Counters.Complete
+                         : m_Parts.Counters.Partial);
+  if (Action.Missing > 0)
+    explain("partial", "shards_late");
+  answer(adapter::encodeGathered(Signatures, Action.Missing, Records.take()));
+}
+
+void ActiveRequest::apply(const RelayReply &Action) {
+  adapter::ReplicaReply Reply = std::move(*find(Action.Attempt)->Reply);
+  bool IsSuccess = Reply.Status < FirstError;
+  ++(IsSuccess ? m_Parts.Counters.Complete : m_Parts.Counters.ReplicaFailures);
+  if (!IsSuccess)
+    explain("replica_failure", std::to_string(Reply.Status));
+  answer(adapter::encodeRelayed(std::move(Reply)));
+}
+
+void ActiveRequest::apply(const RefuseRequest &Action) {
+  ++m_Parts.Counters.Refused;
+  explain("not_run", nameOf(Action.Why));
+  answer(adapter::encodeRefusal(nameOf(Action.Why), Action.RetryAfter));
+}
+
+void ActiveRequest::apply(const FailRequest &Action) {
+  ++m_Parts.Counters.Failed;
+  explain("failed", nameOf(Action.Why));
+  unsigned Status =
+      Action.Why == FailureReason::TimedOut ? GatewayTimeout : BadGateway;
+  answer(http::errorResponse(Status, "unknown", nameOf(Action.Why),
+                             "the request may have run"));
+}
+
+void ActiveRequest::onExchange(SubrequestId Id, ExchangeResult How) {
+  Attempt *Made = find(Id);
+  if (auto *Failure = std::get_if<ExchangeFailure>(&How)) {
+    Made->Note = Failure->Why;
+    return end(Id, Failure->WasSent ? AttemptResult::Lost
+                                    : AttemptResult::NeverSent);
+  }
+  Made->Reply = std::move(std::get<adapter::ReplicaReply>(How));
+  end(Id, classify(*Made->Reply));
+}
+
+void ActiveRequest::end(SubrequestId Id, AttemptResult How) {
+  Attempt *Made = find(Id);
+  Made->HasEnded = true;
+  Made->Note = std::string(nameOf(How)) + " " + Made->Note;
+  if (How == AttemptResult::NotRun)
+    ++m_Parts.Counters.AttemptsRefused;
+  if (How == AttemptResult::Lost)
+    ++m_Parts.Counters.AttemptsLost;
+  if (How == AttemptResult::Abandoned)
+    ++m_Parts.Counters.AttemptsAbandoned;
+  apply(m_Run.onEnded(Id, How, monotonicNow()));
+}
+
+void ActiveRequest::abandonOverdue(TimePoint Now) {
+  for (std::size_t I = 0; I < m_Attempts.size(); ++I) {
+    Attempt &Each = m_Attempts[I];
+    if (Each.HasEnded || Now < Each.AbandonAt)
+      continue;
+    if (Each.Pool)
+      Each.Pool->cancel(Each.Ticket);
+    end(Each.Id, AttemptResult::Abandoned);
+  }
+}
+
+void ActiveRequest::onCallerGone() {
+  if (m_Answer)
+    return;
+  ++m_Parts.Counters.CallersGone;
+  apply(m_Run.onCallerGone(monotonicNow()));
+  answer(http::errorResponse(BadGateway, "unknown", "caller_gone",
+                             "the caller closed its connection"));
+  onTimer();
+}
+
+void ActiveRequest::answer(http::Response Response) {
+  m_Answer = std::move(Response);
+  m_Answered.cancel();
+}
+
+void ActiveRequest::schedule() {
+  TimePoint Now = monotonicNow();
+  TimePoint Next = m_Run.nextTick(Now);
+  for (const Attempt &Each : m_Attempts)
+    if (!Each.HasEnded)
+      Next = std::min(Next, Each.AbandonAt);
+  if (m_Run.isDone() || Next == TimePoint::max())
+    return;
+  m_Timer.expires_at(Next);
+  m_Timer.async_wait(
+      [Self = shared_from_this()](boost::system::error_code Stopped) {
+        if (!Stopped)
+          Self->onTimer();
+      });
+}
+
+void ActiveRequest::onTimer() {
+  TimePoint Now = monotonicNow();
+  apply(m_Run.onTick(Now));
+  abandonOverdue(Now);
+  schedule();
+}
+
+void ActiveRequest::explain(std::string_view Outcome, std::string_view Reason) {
+  LogLine Line("request");
+  Line.add("request", m_Asked.Id);
+  Line.add("outcome", Outcome);
+  Line.add("reason", Reason);
+  Line.add("route", m_Run.route().Name);
+  Line.add("config", m_Run.plan().Table->version().value());
+  Line.add("patience_ms", m_Run.plan().CallerPatience.count());
+  TimePoint Now = monotonicNow();
+  Line.add("took_ms", millis(Now - m_StartedAt));
+  std::string Unserved;
+  for (const Attempt &Each : m_Attempts) {
+    if (Each.HasEnded && Each.Note.starts_with("served"))
+      continue;
+    Unserved += Each.Replica.value() + "@" +
+                std::to_string(millis(Each.SentAt - m_StartedAt)) +
+                "ms:" + (Each.HasEnded ? Each.Note : "pending") + "; ";
+  }
+  Line.add("attempts", static_cast<std::uint64_t>(m_Attempts.size()));
+  Line.add("unserved", Unserved);
+  m_Parts.Log.write(Line);
+}
+
+} // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/traffic/CallerService.cpp
@@ -0,0 +1,163 @@
+#include "gateway/traffic/CallerService.h"
+
+#include "adapter/ReplyCodec.h"
+#include "adapter/RequestCodec.h"
+#include "gateway/traffic/ActiveRequest.h"
+#include "http/ErrorResponse.h"
+
+#include <algorithm>
+#include <random>
+
+namespace carawaypond::gateway {
+
+using boost::asio::awaitable;
+
+namespace {
+
+constexpr Milliseconds SweepInterval{500};
+/// When a VM that knows no configuration yet may be asked again.
+constexpr Milliseconds NotReadyRetryAfter{300};
+constexpr Milliseconds LeavingRetryAfter{20};
+constexpr unsigned BadRequest = 400;
+constexpr unsigned NotFound = 404;
+
+double randomShare() {
+  std::random_device Source;
+  return static_cast<double>(Source()) /
+         (static_cast<double>(std::random_device::max()) + 1);
+}
+
+} // namespace
+
+CallerService::CallerService(boost::asio::io_context &Context,
+                             TrafficOptions Options, TrafficCounters &Counters,
+                             EventLog &Log)
+    : m_Context(Context), m_Options(std::move(Options)), m_Counters(Counters),
+      m_Log(Log), m_Fleet(m_Options.Placement),
+      m_Links(Context, m_Options.Pool), m_Picker(randomShare()),
+      m_View(std::make_shared<TrafficView>()), m_SweepTimer(Context) {}
+
+Result<void> CallerService::start() {
+  http::ListenerOptions Listen;
+  Listen.Address = m_Options.CallerAddress;
+  Listen.MaxConnections = m_Options.MaxCallers;
+  Listen.MaxConnectionsPerAddress = m_Options.MaxCallers;
+  Listen.AnnounceIdleClose = false;
+  Listen.WatchCallers = true;
+  auto Opened =
+      http::Listener::open(m_Context, Listen, [this](http::Request Asked) {
+        return handle(std::move(Asked));
+      });
+  if (!Opened)
+    return boost::outcome_v2::failure(Opened.error());
+  m_Listener = std::move(Opened.value());
+  sweep();
+  return success();
+}
+
+void CallerService::follow(std::shared_ptr<const TrafficView> View) {
+  bool IsNewTable = View->Table != m_View->Table;
+  m_View = std::move(View);
+  m_Fleet.setVms(m_View->Vms);
+  m_Fleet.replace(m_View->Replicas, monotonicNow());
+  m_Links.follow(*m_View);
+  if (IsNewTable)
+    applyLimits();
+}
+
+void CallerService::applyLimits() {
+  const CallerLimits &Given = m_View->Table->callerLimits();
+  http::ListenerOptions Limits;
+  Limits.MaxHeaderBytes = Given.MaxHeaderBytes;
+  Limits.MaxBodyBytes = Given.MaxBodyBytes;
+  Limits.HeaderTimeout = Given.HeaderTimeout;
+  Limits.IdleTimeout = Given.IdleTimeout;
+  m_Listener->setLimits(Limits);
+}
+
+void CallerService::beginLeaving() { m_Listener->setDraining(true); }
+
+void CallerService::closeIdle() {
+  if (!m_HasStopped)
+    m_Listener->stopAccepting();
+  m_HasStopped = true;
+  m_Listener->closeIdle();
+}
+
+std::size_t CallerService::busy() const { return m_Listener->stats().Open; }
+
+void CallerService::sweep() {
+  m_Links.closeStale(monotonicNow());
+  m_SweepTimer.expires_after(SweepInterval);
+  m_SweepTimer.async_wait([this](boost::system::error_code Stopped) {
+    if (!Stopped)
+      sweep();
+  });
+}
+
+http::Response CallerService::refuse(const adapter::CallerRequest &Asked,
+                                     RefusalReason Why) {
+  ++m_Counters.Refused;
+  bool IsLeaving = Why == RefusalReason::Leaving;
+  std::string_view Reason = IsLeaving ? "leaving" : "not_ready";
+  LogLine Line("request");
+  Line.add("request", Asked.Id);
+  Line.add("outcome", "not_run");
+  Line.add("reason", Reason);
+  m_Log.write(Line);
+  return adapter::encodeRefusal(Reason, IsLeaving ? LeavingRetryAfter
+                                                  : NotReadyRetryAfter);
+}
+
+awaitable<http::Response> CallerService::handle(http::Request Asked) {
+  ++m_Counters.Requests;
+  auto Decoded = adapter::decodeRequest(std::move(Asked));
+  if (!Decoded)
+    co_return http::errorResponse(BadRequest, "not_run", "malformed",
+                                  Decoded.error().Message);
+  adapter::CallerRequest Request = std::move(Decoded.value());
+  auto Table = m_View->Table;
+  if (!Table || !m_View->HasReplicas)
+    co_return refuse(Request, RefusalReason::NotReady);
+  if (m_RefusesNew)
+    co_return refuse(Request, RefusalReason::Leaving);
+  const Route *Chosen = Table->find(Request.Host, Request.Path);
+  if (Chosen == nullptr) {
+    ++m_Counters.NotFound;
+    co_return http::errorResponse(NotFound, "not_run", "no_route",
+                                  "no route of this host has this path");
+  }
+  RunPlan Plan = plan(*Chosen, Request);
+  SubrequestId First(m_NextAttempt);
+  TrafficParts Parts{.Context = m_Context,
+                     .Fleet = m_Fleet,
+                     .Links = m_Links,
+                     .Counters = m_Counters,
+                     .Log = m_Log};
+  auto Active = std::make_shared<ActiveRequest>(
+      Parts, std::move(Request), std::move(Plan), First, m_Options.Run);
+  m_NextAttempt += Active->maxAttempts();
+  ++m_Counters.InFlight;
+  http::Response Answer = co_await Active->run();
+  --m_Counters.InFlight;
+  co_return Answer;
+}
+
+RunPlan CallerService::plan(const Route &Chosen,
+                            const adapter::CallerRequest &Asked) {
+  RunPlan Plan;
+  Plan.Table = m_View->Table;
+  Plan.Chosen = &Chosen;
+  Plan.CallerPatience = Asked.Patience.value_or(Chosen.Timeout);
+  Plan.AlreadyWaited =
+      m_Patience.waitedBefore(Chosen.Name, Plan.CallerPatience);
+  if (const auto *Single = std::get_if<SingleTarget>(&Chosen.Target))
+    Plan.Services = {Single->Service};
+  if (const auto *Weighted = std::get_if<WeightedTarget>(&Chosen.Target))
+    Plan.Services = {m_Picker.pick(*Weighted)};
+  if (const auto *Shards = std::get_if<ShardSetTarget>(&Chosen.Target))
+    Plan.Services = Shards->Shards;
+  return Plan;
+}
+
+} // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/traffic/ReplicaLinks.cpp
@@ -0,0 +1,56 @@
+#include "gateway/traffic/ReplicaLinks.h"
+
+#include "http/Endpoint.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace carawaypond::gateway {
+
+namespace {
+
+/// Part of a replica's connections that all VMs use together; the rest is left
+/// for connections that end and those of VMs that start.
+constexpr double UsedConnections = 0.9;
+constexpr std::size_t MaxConnections = 16; ///< Of one VM to one replica.
+
+std::size_t connectionLimit(std::size_t MaxOfReplica, std::size_t Vms) {
+  double Share = UsedConnections * static_cast<double>(MaxOfReplica) /
+                 static_cast<double>(std::max<std::size_t>(Vms, 1));
+  return std::clamp<std::size_t>(static_cast<std::size_t>(Share), 1,
+                                 MaxConnections);
+}
+
+} // namespace
+
+std::shared_ptr<ReplicaPool> ReplicaLinks::find(const ServerName &Id) const {
+  auto Found = m_Links.find(Id);
+  return Found == m_Links.end() ? nullptr : Found->second.Pool;
+}
+
+void ReplicaLinks::follow(const TrafficView &View) {
+  std::unordered_set<ServerName> Present;
+  for (const ReplicaRecord &Each : View.Replicas) {
+    Present.insert(Each.Id);
+    Link &Known = m_Links[Each.Id];
+    auto Remote = http::parseEndpoint(Each.Address);
+    if (Known.Address != Each.Address && Remote) {
+      Known.Address = Each.Address;
+      Known.Pool =
+          std::make_shared<ReplicaPool>(m_Context, Remote.value(), m_Options);
+    }
+    if (Known.Pool && View.Table)
+      Known.Pool->setLimit(connectionLimit(
+          View.Table->limits(Each.Service).MaxConnections, View.Vms));
+  }
+  std::erase_if(
+      m_Links, [&](const auto &Each) { return !Present.contains(Each.first); });
+}
+
+void ReplicaLinks::closeStale(TimePoint Now) {
+  for (auto &[Id, Each] : m_Links)
+    if (Each.Pool)
+      Each.Pool->closeStale(Now);
+}
+
+} // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/traffic/ReplicaLinks.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "coordination/replicas/ReplicaRecord.h"
+#include "core/id/Ids.h"
+#include "gateway/pool/ReplicaPool.h"
+#include "gateway/traffic/TrafficView.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace carawaypond::gateway {
+
+/// @brief The connections to all replicas.
+class ReplicaLinks {
+public:
+  ReplicaLinks(boost::asio::io_context &Context, PoolOptions Options)
+      : m_Context(Context), m_Options(Options) {}
+
+  /// @return The pool of @p Id, or null if it is not known.
+  [[nodiscard]] std::shared_ptr<ReplicaPool> find(const ServerName &Id) const;
+
+  /// @brief Takes the replicas that are known now.
+  void follow(const TrafficView &View);
+  void closeStale(TimePoint Now);
+
+private:
+  struct Link {
+    std::string Address;
+    std::shared_ptr<ReplicaPool> Pool;
+  };
+
+  boost::asio::io_context &m_Context;
+  PoolOptions m_Options;
+  std::unordered_map<ServerName, Link> m_Links;
+};
+
+} // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/traffic/TrafficOptions.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "coordination/placement/PlacementOptions.h"
+#include "coordination/run/RunOptions.h"
+#include "gateway/pool/PoolOptions.h"
+
+#include <cstddef>
+#include <string>
+
+namespace carawaypond::gateway {
+
+struct TrafficOptions {
+  std::string CallerAddress;      ///< "ip:port"
+  std::size_t MaxCallers = 1'024; ///< Connections from callers.
+  PlacementOptions Placement;
+  PoolOptions Pool;
+  RunOptions Run;
+};
+
+} // namespace carawaypond::gateway
--- a/packages/http/src/http/BeastMessage.cpp
+++ b/packages/http/src/http/BeastMessage.cpp
@@ -48,6 +48,7 @@
   std::size_t Mark = Target.find('?');
   Request Asked;
   Asked.Method = std::string(Incoming.method_string());
+  Asked.Target = std::string(Target);
   Asked.Path = std::string(Target.substr(0, Mark));
   if (Mark != std::string_view::npos)
     Asked.Query = std::string(Target.substr(Mark + 1));
@@ -88,7 +89,8 @@
   for (const Header &Field : Outgoing.Headers)
     if (isWellFormed(Field))
       Message.insert(Field.Name, Field.Value);
-  Message.set(beast_http::field::content_type, Outgoing.ContentType);
+  if (!Outgoing.ContentType.empty())
+    Message.set(beast_http::field::content_type, Outgoing.ContentType);
   Message.keep_alive(KeepAlive);
   Message.body() = std::move(Outgoing.Body);
   Message.prepare_payload();
--- a/packages/http/src/http/Listener.cpp
+++ b/packages/http/src/http/Listener.cpp
@@ -29,6 +29,10 @@
 
 void Listener::closeIdle() { m_Impl->sessions().closeIdle(); }
 
+void Listener::setLimits(const ListenerOptions &Limits) {
+  m_Impl->sessions().setLimits(Limits);
+}
+
 void Listener::setDraining(bool Draining) {
   m_Impl->sessions().setDraining(Draining);
 }
--- a/packages/http/src/http/Listener.h
+++ b/packages/http/src/http/Listener.h
@@ -67,6 +67,10 @@
   /// before the close.
   void closeIdle();
 
+  /// @brief Changes the limits for requests that have not begun to arrive; the
+  /// address and the numbers of connections stay as they are.
+  void setLimits(const ListenerOptions &Limits);
+
   /// @brief While draining, each answer carries "Connection: close", unless
   /// the next request has begun to arrive.
   void setDraining(bool Draining);
--- a/packages/http/src/http/ListenerOptions.h
+++ b/packages/http/src/http/ListenerOptions.h
@@ -19,6 +19,10 @@
   std::size_t MaxConnections = 4096;
   std::size_t MaxConnectionsPerAddress = 1024;
   bool ReusePort = false; ///< Lets several listeners share the port.
+  /// Whether a connection that is closed while idle gets a 408 first.
+  bool AnnounceIdleClose = true;
+  /// Whether requests learn that their caller closed the connection.
+  bool WatchCallers = false;
 };
 
 } // namespace carawaypond::http
--- a/packages/http/src/http/Request.h
+++ b/packages/http/src/http/Request.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "http/Header.h"
+#include "http/fwd.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,7 +19,10 @@
   std::string Query; ///< Without the question mark.
   std::vector<Header> Headers;
   std::string Body;
+  std::string Target;        ///< As on the wire; set by the listener.
   std::string RemoteAddress; ///< "ip:port"; set by the listener.
+  /// Set by a listener that watches its callers.
+  std::shared_ptr<CallerPresence> Caller;
 
   /// @return The decoded value of the first parameter @p Name; absent as well
   /// when its encoding is wrong.
--- a/packages/http/src/http/Response.h
+++ b/packages/http/src/http/Response.h
@@ -12,7 +12,7 @@
 /// @brief An HTTP response.
 struct Response {
   unsigned Status = 200;
-  std::string ContentType = "application/json";
+  std::string ContentType = "application/json"; ///< None if empty.
   std::vector<Header> Headers; ///< Besides Content-Type and Content-Length.
   std::string Body;
 
--- a/packages/http/src/http/Session.cpp
+++ b/packages/http/src/http/Session.cpp
@@ -229,14 +229,50 @@
 
 awaitable<Response> Session::callHandler(Request Asked) {
   Response Answer;
+  if (m_Table->options().WatchCallers) {
+    Asked.Caller = std::make_shared<CallerPresence>();
+    m_Watched = Asked.Caller;
+    watchCaller(Asked.Caller);
+  }
   try {
     Answer = co_await m_Table->handler()(std::move(Asked));
   } catch (const std::exception &Thrown) {
     Answer = errorResponse(500, "unknown", "failed", Thrown.what());
   }
+  endWatch();
   co_return Answer;
 }
 
+void Session::watchCaller(std::shared_ptr<CallerPresence> Caller) {
+  m_IsWatching = true;
+  m_Socket.async_wait(
+      boost::asio::socket_base::wait_read,
+      [Self = shared_from_this(), Caller](error_code Failed) {
+        Self->m_IsWatching = false;
+        if (Failed || Self->m_Watched != Caller)
+          return;
+        char Byte = 0;
+        auto Got = ::recv(Self->m_Socket.native_handle(), &Byte, sizeof(Byte),
+                          MSG_PEEK | MSG_DONTWAIT);
+        bool IsQuiet = Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        if (IsQuiet)
+          return Self->watchCaller(Caller);
+        if (Got <= 0)
+          Caller->leave();
+      });
+}
+
+void Session::endWatch() {
+  if (!m_Watched)
+    return;
+  m_Watched->end();
+  m_Watched.reset();
+  if (!m_IsWatching)
+    return;
+  error_code Ignored;
+  m_Socket.cancel(Ignored);
+}
+
 awaitable<bool> Session::write(Response Answer, bool KeepAlive, bool IsHead) {
   KeepAlive = KeepAlive && !mustClose();
   beast_http::response<beast_http::string_body> Outgoing =
@@ -254,6 +290,8 @@
 }
 
 awaitable<void> Session::sayGoodbye() {
+  if (!m_Table->options().AnnounceIdleClose)
+    co_return;
   Response Answer =
       errorResponse(408, "not_run", "closing", "the connection was idle");
   co_await write(std::move(Answer), false, false);
--- a/packages/http/src/http/Session.h
+++ b/packages/http/src/http/Session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time/Time.h"
+#include "http/CallerPresence.h"
 #include "http/Message.h"
 #include "http/SessionTable.h"
 
@@ -17,7 +18,7 @@
 
 /// @brief One accepted connection: reads requests, calls the handler, writes
 /// the answers.
-class Session {
+class Session : public std::enable_shared_from_this<Session> {
 public:
   Session(std::shared_ptr<SessionTable> Table,
           boost::asio::ip::tcp::socket Socket,
@@ -55,6 +56,8 @@
   boost::asio::awaitable<void> allowBody(const Parser &Headers);
   boost::asio::awaitable<bool> reject(boost::system::error_code Cause);
   boost::asio::awaitable<Response> callHandler(Request Asked);
+  void watchCaller(std::shared_ptr<CallerPresence> Caller);
+  void endWatch();
   boost::asio::awaitable<bool> write(Response Answer, bool KeepAlive,
                                      bool IsHead);
   boost::asio::awaitable<void> sayGoodbye();
@@ -66,6 +69,8 @@
   std::string m_RemoteAddress;
   boost::beast::flat_buffer m_Buffer;
   TimePoint m_Due = TimePoint::max(); ///< When the current wait ends.
+  std::shared_ptr<CallerPresence> m_Watched;
+  bool m_IsWatching = false; ///< Whether a wait for the caller is pending.
   bool m_Expired = false;
   bool m_Idle = false;
   bool m_CloseWhenIdle = false;
--- a/packages/http/src/http/SessionTable.cpp
+++ b/packages/http/src/http/SessionTable.cpp
@@ -30,6 +30,14 @@
   --m_Stats.Open;
 }
 
+void SessionTable::setLimits(const ListenerOptions &Limits) {
+  m_Options.MaxBodyBytes = Limits.MaxBodyBytes;
+  m_Options.MaxHeaderBytes = Limits.MaxHeaderBytes;
+  m_Options.HeaderTimeout = Limits.HeaderTimeout;
+  m_Options.IdleTimeout = Limits.IdleTimeout;
+  m_Options.BodyTimeout = Limits.BodyTimeout;
+}
+
 void SessionTable::expire(TimePoint Now) {
   for (Session *Open : m_Sessions)
     Open->expire(Now);
--- a/packages/http/src/http/SessionTable.h
+++ b/packages/http/src/http/SessionTable.h
@@ -29,6 +29,8 @@
   [[nodiscard]] ListenerStats &counters() { return m_Stats; }
   void add(Session &Added);
   void remove(Session &Removed);
+  /// @brief Takes sizes and timeouts from @p Limits.
+  void setLimits(const ListenerOptions &Limits);
   void setDraining(bool Draining) { m_Draining = Draining; }
   /// @brief Ends what each session waits for if it has waited too long.
   void expire(TimePoint Now);
--- a/packages/http/src/http/fwd.h
+++ b/packages/http/src/http/fwd.h
@@ -2,6 +2,7 @@
 
 namespace carawaypond::http {
 
+class CallerPresence;
 class Client;
 class Connection;
 class Listener;
