Follow the store by list after every failed watch

Ruled out: the empty answer's revision (the cursor stayed at 239). Now a failed watch is followed by a list, and a configuration that another VM has had for 0.6 s is fetched from it.

--- a/packages/coordination/src/coordination/watch/WatchCursor.h
+++ b/packages/coordination/src/coordination/watch/WatchCursor.h
@@ -8,9 +8,8 @@
 /// @brief From which revision of the store to watch.
 ///
 /// Answers a store that stops telling its watchers of changes, then drops its
-/// history: an answer without changes proves nothing, so the cursor stays, and
-/// the next watch either tells what was missed or says that the history is
-/// gone.
+/// history and cuts them: an answer without changes proves nothing, so the
+/// cursor stays; after a watch that failed, everything is listed.
 class WatchCursor {
 public:
   /// @return Whether everything must be listed before the next watch.
@@ -26,8 +25,9 @@
     if (Changes > 0 && Revision > m_Revision)
       m_Revision = Revision;
   }
-  /// @brief The store has dropped the changes since the cursor.
-  void onHistoryGone() { m_Revision = 0; }
+  /// @brief A watch failed, whatever the reason. A store that dropped the
+  /// changes since the cursor may keep the next watch waiting before it says so.
+  void onFailed() { m_Revision = 0; }
 
 private:
   std::uint64_t m_Revision = 0;
--- a/packages/coordination/test/coordination/watch/WatchCursorTest.cpp
+++ b/packages/coordination/test/coordination/watch/WatchCursorTest.cpp
@@ -22,6 +22,13 @@
   CHECK(Cursor.revision() == 75);
   Cursor.onAnswer(1, 74);
   CHECK(Cursor.revision() == 75);
-  Cursor.onHistoryGone();
+}
+
+TEST_CASE("everything is listed after a watch that failed") {
+  // Seen when the store had dropped its history and cut its watchers: the next
+  // watch waited 5 s for the news that its revision was too old.
+  WatchCursor Cursor;
+  Cursor.onListed(239);
+  Cursor.onFailed();
   CHECK(Cursor.mustList());
 }
--- a/packages/gateway/src/gateway/control/ReplicaFollower.cpp
+++ b/packages/gateway/src/gateway/control/ReplicaFollower.cpp
@@ -28,9 +28,9 @@
 }
 
 void ReplicaFollower::onFailed(const Error &Why) {
-  if (Why.Code == ErrorCode::Conflict)
-    m_Cursor.onHistoryGone();
-  else if (m_Health.onFailed(Why, monotonicNow()))
+  m_Cursor.onFailed();
+  bool IsStoreUp = Why.Code == ErrorCode::Conflict;
+  if (!IsStoreUp && m_Health.onFailed(Why, monotonicNow()))
     m_State.onStoreLost();
 }
 
--- a/packages/gateway/src/gateway/peers/PeerFetcher.cpp
+++ b/packages/gateway/src/gateway/peers/PeerFetcher.cpp
@@ -20,6 +20,9 @@
 constexpr Milliseconds StorePatience{400};
 constexpr Milliseconds RoundPause{300};
 constexpr Milliseconds FetchTimeout{700};
+/// How long another VM may have a newer configuration before this VM stops
+/// waiting for the store to tell it.
+constexpr Milliseconds BehindPatience{600};
 constexpr unsigned Ok = 200;
 
 } // namespace
@@ -54,9 +57,16 @@
 }
 
 void PeerFetcher::onBeat(const Beat &Heard) {
-  bool IsNewer = Heard.ConfigVersion > m_State.configVersion() ||
-                 Heard.ReplicaRevision > m_State.replicaRevision();
-  if (!IsNewer || !m_Health.isLost() || m_IsFetching)
+  bool HasNewerConfig = Heard.ConfigVersion > m_State.configVersion();
+  bool HasNewerReplicas = Heard.ReplicaRevision > m_State.replicaRevision();
+  TimePoint Now = monotonicNow();
+  if (!HasNewerConfig)
+    m_BehindSince.reset();
+  else if (!m_BehindSince)
+    m_BehindSince = Now;
+  bool IsBehind = m_BehindSince && Now - *m_BehindSince >= BehindPatience;
+  bool IsCutOff = m_Health.isLost() && (HasNewerConfig || HasNewerReplicas);
+  if (m_IsFetching || !(IsBehind || IsCutOff))
     return;
   boost::asio::co_spawn(m_Context, fetch(Heard.Vm.PeerAddress),
                         boost::asio::detached);
--- a/packages/gateway/src/gateway/peers/PeerFetcher.h
+++ b/packages/gateway/src/gateway/peers/PeerFetcher.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,8 @@
   std::string m_OwnAddress;
   std::vector<std::string> m_Seeds;
   bool m_IsFetching = false;
+  /// Since when another VM has had a newer configuration.
+  std::optional<TimePoint> m_BehindSince;
 };
 
 } // namespace carawaypond::gateway
