--- a/packages/coordination/src/coordination/addresses/AddressBook.cpp
+++ b/packages/coordination/src/coordination/addresses/AddressBook.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 struct Candidate {
-  bool IsDear; ///< Not where the caller's queries cost least.
   bool IsElsewhere;
   std::uint64_t Rank;
   const VmRecord *Vm;
@@ -25,31 +24,11 @@
 
 Candidate makeCandidate(const AddressQuestion &Question, const VmRecord &Vm,
                         std::uint64_t Seed) {
-  bool IsDear = !Question.CheapCentres.empty() &&
-                !Question.CheapCentres.contains(Vm.Centre);
-  return {.IsDear = IsDear,
-          .IsElsewhere = Question.Centre && Vm.Centre != *Question.Centre,
+  return {.IsElsewhere = Question.Centre && Vm.Centre != *Question.Centre,
           .Rank = hashOf(Vm.Name.value(), Seed),
           .Vm = &Vm};
 }
 
-/// @return How many of the sorted candidates to name: the leading group of VMs
-/// that are equally good, and further ones until there are enough.
-std::size_t namedCount(const std::vector<Candidate> &Sorted,
-                       std::size_t Enough) {
-  std::size_t Count = 0;
-  while (Count < Sorted.size()) {
-    const Candidate &Next = Sorted[Count];
-    bool IsWorse =
-        Count > 0 && (Next.IsDear != Sorted[Count - 1].IsDear ||
-                      Next.IsElsewhere != Sorted[Count - 1].IsElsewhere);
-    if (IsWorse && Count >= Enough)
-      break;
-    ++Count;
-  }
-  return Count;
-}
-
 bool isUsable(const VmRecord &Vm) {
   return Vm.State == VmState::Live && !Vm.CallerAddress.empty();
 }
@@ -71,11 +50,9 @@
     Candidates.push_back(makeCandidate(Question, Self, Seed));
   std::sort(Candidates.begin(), Candidates.end(),
             [](const Candidate &Left, const Candidate &Right) {
-              return std::tie(Left.IsDear, Left.IsElsewhere, Left.Rank) <
-                     std::tie(Right.IsDear, Right.IsElsewhere, Right.Rank);
+              return std::tie(Left.IsElsewhere, Left.Rank) <
+                     std::tie(Right.IsElsewhere, Right.Rank);
             });
-  if (!Question.CheapCentres.empty())
-    Candidates.resize(namedCount(Candidates, m_Options.EnoughCheap));
   Candidates.resize(std::min(Candidates.size(), m_Options.MaxAddresses));
   AddressAnswer Answer{.Addresses = {}, .Valid = m_Options.Lifetime};
   for (const Candidate &Each : Candidates)
--- a/packages/coordination/src/coordination/addresses/AddressBook.h
+++ b/packages/coordination/src/coordination/addresses/AddressBook.h
@@ -7,7 +7,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,16 +17,12 @@
 struct AddressBookOptions {
   std::size_t MaxAddresses = 8;
   Milliseconds Lifetime{5000}; ///< VmDrainOptions::AddressLifetime.
-  /// With so many VMs where queries cost least, no other is named.
-  std::size_t EnoughCheap = 2;
 };
 
 /// @brief Who asks for addresses.
 struct AddressQuestion {
   std::string Caller; ///< Anything that tells callers apart.
   std::optional<DataCentre> Centre;
-  /// Where the caller's queries cost least; empty if they cost alike.
-  std::set<DataCentre> CheapCentres;
 };
 
 /// @brief Which addresses to use, best first.
--- a/packages/coordination/src/coordination/addresses/fwd.h
+++ b/packages/coordination/src/coordination/addresses/fwd.h
@@ -6,5 +6,8 @@
 struct AddressAnswer;
 struct AddressBookOptions;
 struct AddressQuestion;
+class CallerDirectory;
+struct CallerDirectoryOptions;
+struct CallerQuestion;
 
 } // namespace carawaypond
--- a/packages/coordination/src/coordination/budget/ArrivalBudget.cpp
+++ b/packages/coordination/src/coordination/budget/ArrivalBudget.cpp
@@ -17,7 +17,7 @@
   return Now.time_since_epoch() / std::max<Duration>(Width, Milliseconds(1));
 }
 
-double ArrivalBudget::available(std::size_t Vms, TimePoint Now) const {
+double ArrivalBudget::available(double Share, TimePoint Now) const {
   std::int64_t Newest = bucketNumber(Now);
   std::int64_t Oldest = Newest - static_cast<std::int64_t>(BucketCount) + 1;
   double Requests = 0;
@@ -28,9 +28,8 @@
     Requests += Each.Requests;
     Extras += Each.Extras;
   }
-  double Part =
-      m_Options.Slack / static_cast<double>(std::max<std::size_t>(Vms, 1));
-  return UsedShare * (m_Options.Ratio * Requests + Part) - Extras;
+  return UsedShare * (m_Options.Ratio * Requests + Share * m_Options.Slack) -
+         Extras;
 }
 
 ArrivalBudget::Bucket &ArrivalBudget::currentBucket(TimePoint Now) {
@@ -45,8 +44,8 @@
   ++currentBucket(Now).Requests;
 }
 
-bool ArrivalBudget::trySpend(std::size_t Vms, double Reserve, TimePoint Now) {
-  if (available(Vms, Now) < 1 + Reserve)
+bool ArrivalBudget::trySpend(double Share, double Reserve, TimePoint Now) {
+  if (available(Share, Now) < 1 + Reserve)
     return false;
   ++currentBucket(Now).Extras;
   return true;
--- a/packages/coordination/src/coordination/budget/ArrivalBudget.h
+++ b/packages/coordination/src/coordination/budget/ArrivalBudget.h
@@ -25,14 +25,15 @@
 public:
   explicit ArrivalBudget(ArrivalBudgetOptions Options) : m_Options(Options) {}
 
+  /// @param Share This VM's part of the slack.
   /// @return How many more arrivals may be caused now.
-  [[nodiscard]] double available(std::size_t Vms, TimePoint Now) const;
+  [[nodiscard]] double available(double Share, TimePoint Now) const;
 
   /// @brief Counts a request's first arrival.
   void countRequest(TimePoint Now);
   /// @brief Takes one arrival for a hedge or retry, if there is one.
   /// @param Reserve How many arrivals must be left besides.
-  [[nodiscard]] bool trySpend(std::size_t Vms, double Reserve, TimePoint Now);
+  [[nodiscard]] bool trySpend(double Share, double Reserve, TimePoint Now);
 
 private:
   /// The window is kept as buckets; one more than fit covers any alignment.
--- /dev/null
+++ b/packages/coordination/src/coordination/fleet/ReaderChoice.cpp
@@ -0,0 +1,31 @@
+#include "coordination/fleet/ReaderChoice.h"
+
+namespace carawaypond {
+
+bool ReaderChoice::isTooEarly(const std::vector<LoadedVm> &Heard,
+                              TimePoint Now) const {
+  return Heard.empty() && Now < m_StartedAt + m_Options.StartPatience;
+}
+
+std::optional<VmRecord> ReaderChoice::reader(const LoadedVm &Self,
+                                             const std::vector<LoadedVm> &Heard,
+                                             TimePoint Now) const {
+  bool IsDistrustful = m_FailedAt && Now < *m_FailedAt + m_Options.DistrustTime;
+  if (IsDistrustful)
+    return std::nullopt;
+  const VmRecord *First = &Self.Record;
+  for (const LoadedVm &Each : Heard) {
+    bool IsCandidate = Each.ReadsStore &&
+                       Each.Record.Centre == Self.Record.Centre &&
+                       Each.Record.State != VmState::Leaving;
+    if (IsCandidate && Each.Record.Name < First->Name)
+      First = &Each.Record;
+  }
+  if (First == &Self.Record)
+    return std::nullopt;
+  return *First;
+}
+
+void ReaderChoice::onReaderFailed(TimePoint Now) { m_FailedAt = Now; }
+
+} // namespace carawaypond
--- a/packages/coordination/src/coordination/fleet/VmBoard.cpp
+++ b/packages/coordination/src/coordination/fleet/VmBoard.cpp
@@ -1,20 +1,27 @@
 #include "coordination/fleet/VmBoard.h"
 
-#include <algorithm>
-
 namespace carawaypond {
 
+namespace {
+
+/// What a VM counts for besides its load, as a part of the mean load: a VM that
+/// is not named to callers still gets some requests.
+constexpr double IdlePart = 0.25;
+constexpr double LeastIdleRate = 1; ///< Attempts a second.
+
+} // namespace
+
 bool VmBoard::isSilent(const Entry &Of, TimePoint Now) const {
   return Now - Of.HeardAt > m_Options.SilenceLimit;
 }
 
-std::vector<VmRecord> VmBoard::usable(TimePoint Now) const {
-  std::vector<VmRecord> Heard;
-  std::vector<VmRecord> Silent;
+std::vector<LoadedVm> VmBoard::usable(TimePoint Now) const {
+  std::vector<LoadedVm> Heard;
+  std::vector<LoadedVm> Silent;
   for (const auto &[Name, Each] : m_Entries) {
-    if (Each.Record.State != VmState::Live)
+    if (Each.Vm.Record.State != VmState::Live)
       continue;
-    (isSilent(Each, Now) ? Silent : Heard).push_back(Each.Record);
+    (isSilent(Each, Now) ? Silent : Heard).push_back(Each.Vm);
   }
   bool IsCutOff = Silent.size() > Heard.size() && Silent.size() > 1;
   if (IsCutOff)
@@ -22,37 +29,51 @@
   return Heard;
 }
 
-std::size_t VmBoard::sharing(TimePoint Now) const {
-  auto Lately =
-      std::count_if(m_Entries.begin(), m_Entries.end(), [&](const auto &Each) {
-        return Now - Each.second.HeardAt < m_Options.ForgetAfter;
-      });
-  return static_cast<std::size_t>(Lately) + 1;
+std::vector<LoadedVm> VmBoard::heard(TimePoint Now) const {
+  std::vector<LoadedVm> Heard;
+  for (const auto &[Name, Each] : m_Entries)
+    if (!isSilent(Each, Now))
+      Heard.push_back(Each.Vm);
+  return Heard;
+}
+
+double VmBoard::share(const VmLoad &Own, TimePoint Now) const {
+  double Total = Own.AttemptRate;
+  double Count = 1;
+  for (const auto &[Name, Each] : m_Entries) {
+    if (Now - Each.HeardAt >= m_Options.ForgetAfter)
+      continue;
+    Total += Each.Vm.Load.AttemptRate;
+    ++Count;
+  }
+  double Idle = LeastIdleRate + IdlePart * Total / Count;
+  return (Own.AttemptRate + Idle) / (Total + Count * Idle);
 }
 
 std::vector<VmRecord> VmBoard::known() const {
   std::vector<VmRecord> Known;
   for (const auto &[Name, Each] : m_Entries)
-    if (Each.Record.State != VmState::Gone)
-      Known.push_back(Each.Record);
+    if (Each.Vm.Record.State != VmState::Gone)
+      Known.push_back(Each.Vm.Record);
   return Known;
 }
 
-bool VmBoard::onBeat(const VmRecord &Record, TimePoint Now) {
+bool VmBoard::onBeat(const LoadedVm &Vm, TimePoint Now) {
+  const VmRecord &Record = Vm.Record;
   if (Record.Name == m_Self)
     return false;
-  auto [Found, IsNew] = m_Entries.try_emplace(
-      Record.Name, Entry{.Record = Record, .HeardAt = Now});
+  auto [Found, IsNew] =
+      m_Entries.try_emplace(Record.Name, Entry{.Vm = Vm, .HeardAt = Now});
   if (IsNew)
     return true;
   Entry &Known = Found->second;
-  if (Record.Life < Known.Record.Life)
+  VmRecord Before = Known.Vm.Record;
+  if (Record.Life < Before.Life)
     return false;
-  bool IsRestarted = Record.Life > Known.Record.Life;
-  bool IsLeaving = Known.Record.State == VmState::Leaving && !IsRestarted;
-  Known.Record = Record;
-  if (IsLeaving)
-    Known.Record.State = VmState::Leaving;
+  bool IsRestarted = Record.Life > Before.Life;
+  Known.Vm = Vm;
+  if (Before.State == VmState::Leaving && !IsRestarted)
+    Known.Vm.Record.State = VmState::Leaving;
   Known.HeardAt = Now;
   return IsRestarted;
 }
@@ -61,10 +82,10 @@
   if (Record.Name == m_Self)
     return;
   auto Found = m_Entries.find(Record.Name);
-  if (Found != m_Entries.end() && Found->second.Record.Life >= Record.Life)
+  if (Found != m_Entries.end() && Found->second.Vm.Record.Life >= Record.Life)
     return;
   TimePoint Unheard = Now - m_Options.SilenceLimit - Milliseconds(1);
-  m_Entries[Record.Name] = {.Record = Record, .HeardAt = Unheard};
+  m_Entries[Record.Name] = {.Vm = {.Record = Record}, .HeardAt = Unheard};
 }
 
 void VmBoard::expire(TimePoint Now) {
--- a/packages/coordination/src/coordination/fleet/VmBoard.h
+++ b/packages/coordination/src/coordination/fleet/VmBoard.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/fleet/VmLoad.h"
 #include "coordination/membership/VmRecord.h"
 #include "core/time/Time.h"
 
@@ -25,16 +26,18 @@
       : m_Self(std::move(Self)), m_Options(Options) {}
 
   /// @return The VMs besides this one that callers may use.
-  [[nodiscard]] std::vector<VmRecord> usable(TimePoint Now) const;
-  /// @return How many VMs share budgets, this one included: those that were
-  /// heard of lately.
-  [[nodiscard]] std::size_t sharing(TimePoint Now) const;
+  [[nodiscard]] std::vector<LoadedVm> usable(TimePoint Now) const;
+  /// @return The VMs besides this one that were heard of just now.
+  [[nodiscard]] std::vector<LoadedVm> heard(TimePoint Now) const;
+  /// @return This VM's part of what all VMs share: budgets and connections. It
+  /// follows the load, and the parts of all VMs add up to 1 if they agree.
+  [[nodiscard]] double share(const VmLoad &Own, TimePoint Now) const;
   /// @return All VMs besides this one that are not known to have left.
   [[nodiscard]] std::vector<VmRecord> known() const;
 
   /// @brief Takes a heartbeat.
   /// @return Whether the VM, or this incarnation of it, was not known.
-  bool onBeat(const VmRecord &Record, TimePoint Now);
+  bool onBeat(const LoadedVm &Vm, TimePoint Now);
   /// @brief Takes a record that somebody else holds.
   void onRecord(const VmRecord &Record, TimePoint Now);
   /// @brief Drops records of VMs that are silent for long.
@@ -42,7 +45,7 @@
 
 private:
   struct Entry {
-    VmRecord Record;
+    LoadedVm Vm;
     TimePoint HeardAt; ///< Or learnt of.
   };
 
--- /dev/null
+++ b/packages/coordination/src/coordination/fleet/VmLoad.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "coordination/membership/VmRecord.h"
+
+namespace carawaypond {
+
+/// @brief How strong a VM is and what it does.
+struct VmLoad {
+  double Capacity = 0;    ///< Processor cores.
+  double AttemptRate = 0; ///< Requests to replicas a second.
+
+  friend bool operator==(const VmLoad &, const VmLoad &) = default;
+};
+
+/// @brief A VM with its load.
+struct LoadedVm {
+  VmRecord Record;
+  VmLoad Load;
+  bool ReadsStore = false; ///< Whether the store answers it.
+};
+
+} // namespace carawaypond
--- a/packages/coordination/src/coordination/fleet/fwd.h
+++ b/packages/coordination/src/coordination/fleet/fwd.h
@@ -2,8 +2,10 @@
 
 namespace carawaypond {
 
+struct LoadedVm;
 struct VmBoardOptions;
-struct VmEntry;
+struct VmLoad;
+class ReaderChoice;
 class VmBoard;
 
 } // namespace carawaypond
--- a/packages/coordination/src/coordination/placement/ReplicaFleet.h
+++ b/packages/coordination/src/coordination/placement/ReplicaFleet.h
@@ -18,7 +18,8 @@
       : m_Options(std::move(Options)) {}
 
   [[nodiscard]] const PlacementOptions &options() const { return m_Options; }
-  [[nodiscard]] std::size_t vms() const { return m_Vms; }
+  /// @return This VM's part of what all VMs share.
+  [[nodiscard]] double share() const { return m_Share; }
   [[nodiscard]] const std::unordered_map<ServiceName, ServiceFleet> &
   services() const {
     return m_Services;
@@ -32,12 +33,11 @@
   /// @return Replicas that were known and are no more.
   std::vector<ServerName> replace(const std::vector<ReplicaRecord> &Known,
                                   TimePoint Now);
-  /// @brief Takes how many VMs share the budgets.
-  void setVms(std::size_t Vms) { m_Vms = Vms; }
+  void setShare(double Share) { m_Share = Share; }
 
 private:
   PlacementOptions m_Options;
-  std::size_t m_Vms = 1;
+  double m_Share = 1;
   std::unordered_map<ServiceName, ServiceFleet> m_Services;
   std::unordered_map<ServerName, ServiceName> m_ServiceOf;
   std::unordered_map<std::string, RouteLatency> m_Latencies;
--- a/packages/coordination/src/coordination/replicas/ReplicaBook.cpp
+++ b/packages/coordination/src/coordination/replicas/ReplicaBook.cpp
@@ -24,7 +24,15 @@
   auto [Found, IsNew] = m_Entries.try_emplace(Record.Id, Record);
   if (IsNew)
     return true;
-  if (Record.StartedAt < Found->second.StartedAt || Found->second == Record)
+  ReplicaRecord &Known = Found->second;
+  if (Record.StartedAt < Known.StartedAt)
+    return false;
+  // The warm-up runs off by itself.
+  if (Record.StartedAt == Known.StartedAt)
+    Record.WarmupLeft = std::min(Record.WarmupLeft, Known.WarmupLeft);
+  ReplicaRecord Unchanged = Known;
+  Unchanged.WarmupLeft = Record.WarmupLeft;
+  if (Unchanged == Record)
     return false;
   Found->second = std::move(Record);
   return true;
--- a/packages/coordination/src/coordination/run/RequestRun.cpp
+++ b/packages/coordination/src/coordination/run/RequestRun.cpp
@@ -166,7 +166,7 @@
     Replica = Service.cheapest({}, m_Fleet.options(), Now);
   if (Replica == nullptr)
     return false;
-  if (!Service.budget().trySpend(m_Fleet.vms(), Reserve, Now))
+  if (!Service.budget().trySpend(m_Fleet.share(), Reserve, Now))
     return false;
   send(To, *Replica, true, Out, Now);
   return true;
--- a/packages/coordination/src/coordination/watch/WatchCursor.h
+++ b/packages/coordination/src/coordination/watch/WatchCursor.h
@@ -26,7 +26,8 @@
       m_Revision = Revision;
   }
   /// @brief A watch failed, whatever the reason. A store that dropped the
-  /// changes since the cursor may keep the next watch waiting before it says so.
+  /// changes since the cursor may keep the next watch waiting before it says
+  /// so.
   void onFailed() { m_Revision = 0; }
 
 private:
--- a/packages/gateway/src/gateway/app/Gateway.cpp
+++ b/packages/gateway/src/gateway/app/Gateway.cpp
@@ -5,10 +5,13 @@
 #include "gateway/app/MetricsText.h"
 #include "gateway/control/ConfigFollower.h"
 #include "gateway/control/ControlServers.h"
+#include "gateway/control/ReaderFollower.h"
 #include "gateway/control/ReplicaFollower.h"
+#include "gateway/control/StoreRole.h"
 #include "gateway/control/VmRegistration.h"
 #include "gateway/peers/BeatExchange.h"
 #include "gateway/peers/PeerFetcher.h"
+#include "gateway/traffic/AttemptRate.h"
 #include "gateway/traffic/CallerService.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -59,14 +62,16 @@
   return Options;
 }
 
-ControlServerOptions serverOptions(const adapter::SiteSettings &Settings) {
+ControlServerOptions serverOptions(const adapter::SiteSettings &Settings,
+                                   Incarnation Life) {
   return {.ReadyAddress = Settings.ReadyAddress,
           .DirectoryAddress = Settings.DirectoryAddress,
           .PeerAddress = Settings.PeerAddress,
           .MetricsAddress =
               Settings.Ip + ":" + std::to_string(Settings.LastInternalPort),
           .AddressLifetime =
-              std::min(AddressLifetime, Settings.MaxAddressLifetime)};
+              std::min(AddressLifetime, Settings.MaxAddressLifetime),
+          .Life = Life};
 }
 
 } // namespace
@@ -80,7 +85,9 @@
   void run();
 
 private:
-  [[nodiscard]] VmRecord describe() const;
+  [[nodiscard]] VmRecord record() const;
+  [[nodiscard]] LoadedVm describe() const;
+  [[nodiscard]] VmLoad load() const;
   [[nodiscard]] Beat beat() const;
   void publish(std::shared_ptr<const TrafficView> View);
   void awaitSignal();
@@ -102,10 +109,13 @@
   asio::steady_timer m_Timer{m_ControlIo};
   CallerService m_Callers;
   FleetState m_State;
+  AttemptRate m_AttemptRate;
   StoreHealth m_Health{m_Log};
   adapter::StoreClient m_Store;
+  StoreRole m_Role;
   ConfigFollower m_Config;
   ReplicaFollower m_Replicas;
+  ReaderFollower m_Reader;
   PeerFetcher m_Fetcher;
   BeatExchange m_Beats;
   VmRegistration m_Registration;
@@ -119,13 +129,17 @@
 Gateway::Impl::Impl(adapter::SiteSettings Given)
     : m_Settings(std::move(Given)),
       m_Callers(m_TrafficIo, trafficOptions(m_Settings), m_Counters, m_Log),
-      m_State(m_Settings.Vm, m_Log,
-              [this](std::shared_ptr<const TrafficView> View) {
-                publish(std::move(View));
-              }),
+      m_State(
+          m_Settings.Vm, m_Log, [this] { return load(); },
+          [this](std::shared_ptr<const TrafficView> View) {
+            publish(std::move(View));
+          }),
       m_Store(m_ControlIo.get_executor(), m_Settings.StoreAddress),
-      m_Config(m_ControlIo, m_Store, m_State, m_Health, m_Follow),
-      m_Replicas(m_ControlIo, m_Store, m_State, m_Health, m_Log, m_Follow),
+      m_Role(m_State, m_Log, [this] { return describe(); }),
+      m_Config(m_ControlIo, m_Store, m_State, m_Health, m_Role, m_Follow),
+      m_Replicas(m_ControlIo, m_Store, m_State, m_Health, m_Role, m_Log,
+                 m_Follow),
+      m_Reader(m_ControlIo, m_State, m_Role, m_Follow),
       m_Fetcher(m_ControlIo, m_State, m_Health, m_Log, m_Settings.PeerAddress,
                 m_Settings.Seeds),
       m_Beats(
@@ -133,16 +147,25 @@
           {.Ip = m_Settings.Ip, .Port = m_Settings.FirstInternalPort}, m_State,
           [this] { return beat(); },
           [this](const Beat &Heard) { m_Fetcher.onBeat(Heard); }),
-      m_Registration(m_ControlIo, m_Store, m_State, m_Log, describe(), m_Follow,
+      m_Registration(m_ControlIo, m_Store, m_State, m_Log, record(), m_Follow,
                      [this] { m_Beats.tellAll(); }),
       m_Servers(
-          m_ControlIo, serverOptions(m_Settings), m_State,
+          m_ControlIo, serverOptions(m_Settings, m_Life), m_State,
           [this] { return describe(); },
           [this] {
             return metricsText(m_Counters, m_State, m_Store.counts(), m_Log);
           }) {}
 
-VmRecord Gateway::Impl::describe() const {
+VmLoad Gateway::Impl::load() const {
+  return {.Capacity = m_Settings.Cores, .AttemptRate = m_AttemptRate.value()};
+}
+
+LoadedVm Gateway::Impl::describe() const {
+  bool ReadsStore = !m_Health.isLost() && m_Store.counts().Reads > 0;
+  return {.Record = record(), .Load = load(), .ReadsStore = ReadsStore};
+}
+
+VmRecord Gateway::Impl::record() const {
   VmRecord Self{.Name = m_Settings.Vm,
                 .Life = m_Life,
                 .Centre = m_Settings.Centre,
@@ -232,6 +255,7 @@
 }
 
 void Gateway::Impl::tick() {
+  m_AttemptRate.sample(m_Counters.Attempts, monotonicNow());
   m_State.tick();
   if (m_State.isReady())
     m_Drain.onReady();
@@ -253,6 +277,7 @@
   awaitSignal();
   asio::co_spawn(m_ControlIo, m_Config.run(), asio::detached);
   asio::co_spawn(m_ControlIo, m_Replicas.run(), asio::detached);
+  asio::co_spawn(m_ControlIo, m_Reader.run(), asio::detached);
   asio::co_spawn(m_ControlIo, m_Registration.run(), asio::detached);
   asio::co_spawn(m_ControlIo, m_Fetcher.runUntilReady(), asio::detached);
   tick();
--- a/packages/gateway/src/gateway/control/ConfigFollower.cpp
+++ b/packages/gateway/src/gateway/control/ConfigFollower.cpp
@@ -8,13 +8,18 @@
 
 ConfigFollower::ConfigFollower(boost::asio::io_context &Context,
                                adapter::StoreClient &Store, FleetState &State,
-                               StoreHealth &Health,
+                               StoreHealth &Health, StoreRole &Role,
                                const FollowOptions &Options)
-    : m_Store(Store), m_State(State), m_Health(Health), m_Options(Options),
-      m_Pause(Context, Options) {}
+    : m_Store(Store), m_State(State), m_Health(Health), m_Role(Role),
+      m_Options(Options), m_Pause(Context, Options) {}
 
 awaitable<void> ConfigFollower::run() {
   for (;;) {
+    if (!m_Role.readsStore()) {
+      m_Cursor = WatchCursor();
+      co_await m_Pause.wait(m_Options.RolePause);
+      continue;
+    }
     bool Succeeded = false;
     if (m_Cursor.mustList())
       Succeeded = co_await list();
--- a/packages/gateway/src/gateway/control/ConfigFollower.h
+++ b/packages/gateway/src/gateway/control/ConfigFollower.h
@@ -6,6 +6,7 @@
 #include "gateway/control/FollowOptions.h"
 #include "gateway/control/RetryPause.h"
 #include "gateway/control/StoreHealth.h"
+#include "gateway/control/StoreRole.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -16,7 +17,7 @@
 class ConfigFollower {
 public:
   ConfigFollower(boost::asio::io_context &Context, adapter::StoreClient &Store,
-                 FleetState &State, StoreHealth &Health,
+                 FleetState &State, StoreHealth &Health, StoreRole &Role,
                  const FollowOptions &Options);
 
   /// @brief Follows for ever.
@@ -31,6 +32,7 @@
   adapter::StoreClient &m_Store;
   FleetState &m_State;
   StoreHealth &m_Health;
+  StoreRole &m_Role;
   FollowOptions m_Options;
   RetryPause m_Pause;
   WatchCursor m_Cursor;
--- a/packages/gateway/src/gateway/control/ControlServers.cpp
+++ b/packages/gateway/src/gateway/control/ControlServers.cpp
@@ -2,6 +2,7 @@
 
 #include "adapter/DirectoryCodec.h"
 #include "coordination/addresses/ShardCentres.h"
+#include "gateway/peers/Changes.h"
 #include "gateway/peers/PeerFetcher.h"
 #include "gateway/peers/PeerState.h"
 #include "http/ErrorResponse.h"
@@ -23,28 +24,31 @@
 } // namespace
 
 ControlServers::ControlServers(boost::asio::io_context &Context,
-                               ControlServerOptions Options,
-                               const FleetState &State, Describe Self,
-                               Metrics Counted)
+                               ControlServerOptions Options, FleetState &State,
+                               Describe Self, Metrics Counted)
     : m_Context(Context), m_Options(std::move(Options)), m_State(State),
-      m_Self(std::move(Self)), m_Metrics(std::move(Counted)),
-      m_Book({.MaxAddresses = adapter::MaxDirectoryAddresses,
-              .Lifetime = m_Options.AddressLifetime}) {}
+      m_Self(std::move(Self)), m_Metrics(std::move(Counted)) {}
 
 Result<void> ControlServers::start() {
   Result<void> Opened =
       open(m_Options.ReadyAddress,
-           [this](const http::Request &Asked) { return ready(Asked); });
+           [this](http::Request Asked) -> awaitable<http::Response> {
+             co_return ready(Asked);
+           });
   if (Opened)
-    Opened =
-        open(m_Options.DirectoryAddress,
-             [this](const http::Request &Asked) { return directory(Asked); });
+    Opened = open(m_Options.DirectoryAddress,
+                  [this](http::Request Asked) -> awaitable<http::Response> {
+                    co_return directory(Asked);
+                  });
   if (Opened)
-    Opened = open(m_Options.PeerAddress,
-                  [this](const http::Request &Asked) { return peer(Asked); });
+    Opened = open(m_Options.PeerAddress, [this](http::Request Asked) {
+      return peer(std::move(Asked));
+    });
   if (Opened)
     Opened = open(m_Options.MetricsAddress,
-                  [this](const http::Request &) { return metrics(); });
+                  [this](http::Request) -> awaitable<http::Response> {
+                    co_return metrics();
+                  });
   return Opened;
 }
 
@@ -52,10 +56,7 @@
   http::ListenerOptions Listen;
   Listen.Address = Address;
   Listen.AnnounceIdleClose = false;
-  auto Opened = http::Listener::open(
-      m_Context, Listen,
-      [Give = std::move(Give)](http::Request Asked)
-          -> awaitable<http::Response> { co_return Give(Asked); });
+  auto Opened = http::Listener::open(m_Context, Listen, std::move(Give));
   if (!Opened)
     return boost::outcome_v2::failure(Opened.error());
   m_Listeners.push_back(std::move(Opened.value()));
@@ -65,7 +66,7 @@
 http::Response ControlServers::ready(const http::Request &Asked) const {
   if (Asked.Path != adapter::ReadyPath)
     return notFound();
-  if (m_Self().State == VmState::Live)
+  if (m_Self().Record.State == VmState::Live)
     return {};
   return http::errorResponse(Unavailable, "not_run", "not_ready",
                              "this VM is starting or stopping");
@@ -75,12 +76,14 @@
   if (Asked.Path != adapter::DirectoryPath)
     return notFound();
   adapter::DirectoryQuestion Question = adapter::decodeDirectoryQuestion(Asked);
-  AddressAnswer Found =
-      m_Book.answer({.Caller = Question.Host,
-                     .Centre = Question.Centre,
-                     .CheapCentres = cheapCentres(Question.Host)},
-                    m_Self(), m_State.vms().usable(monotonicNow()));
-  return adapter::encodeDirectoryAnswer(Found.Addresses, Found.Valid);
+  std::vector<LoadedVm> Usable = m_State.vms().usable(monotonicNow());
+  LoadedVm Self = m_Self();
+  if (Self.Record.State == VmState::Live || Usable.empty())
+    Usable.push_back(Self);
+  std::vector<std::string> Addresses = m_Directory.answer(
+      {.Centre = Question.Centre, .CheapCentres = cheapCentres(Question.Host)},
+      Usable);
+  return adapter::encodeDirectoryAnswer(Addresses, m_Options.AddressLifetime);
 }
 
 const std::set<DataCentre> &
@@ -96,12 +99,31 @@
   return Found->second;
 }
 
-http::Response ControlServers::peer(const http::Request &Asked) const {
+awaitable<http::Response> ControlServers::peer(http::Request Asked) {
+  if (Asked.Path == ChangesPath)
+    co_return co_await changes(std::move(Asked));
   if (Asked.Path != PeerFetcher::Path)
-    return notFound();
+    co_return notFound();
   http::Response Answer;
-  Answer.Body = encodePeerState(m_State, m_Self());
-  return Answer;
+  Answer.Body = encodePeerState(m_State, m_Self().Record);
+  co_return Answer;
+}
+
+awaitable<http::Response> ControlServers::changes(http::Request Asked) {
+  ChangesQuestion Question = decodeChangesQuestion(Asked);
+  TimePoint Deadline = monotonicNow() + Question.Wait;
+  bool IsKnown = Question.Life == m_Options.Life;
+  bool MustWait = IsKnown && !hasNews(Question, m_State);
+  while (MustWait && monotonicNow() < Deadline && m_Self().ReadsStore) {
+    co_await m_State.signal().wait(m_Context, Deadline);
+    MustWait = !hasNews(Question, m_State);
+  }
+  if (!IsKnown)
+    Question.Sequence = 0;
+  http::Response Answer;
+  Answer.Body =
+      encodeChanges(Question, m_State, m_Options.Life, m_Self().ReadsStore);
+  co_return Answer;
 }
 
 http::Response ControlServers::metrics() const {
--- a/packages/gateway/src/gateway/control/ControlServers.h
+++ b/packages/gateway/src/gateway/control/ControlServers.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include "coordination/addresses/AddressBook.h"
+#include "coordination/addresses/CallerDirectory.h"
 #include "core/outcome/Result.h"
 #include "gateway/control/FleetState.h"
 #include "gateway/traffic/TrafficCounters.h"
 #include "http/Listener.h"
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
@@ -25,37 +26,40 @@
   std::string PeerAddress;
   std::string MetricsAddress;
   Milliseconds AddressLifetime{2'000};
+  Incarnation Life; ///< Of this process.
 };
 
 /// @brief The readiness check, the directory, the peers' calls and the metrics.
 /// Belongs to the control thread.
 class ControlServers {
 public:
-  using Describe = std::function<VmRecord()>;
+  using Describe = std::function<LoadedVm()>;
   using Metrics = std::function<std::string()>;
 
   ControlServers(boost::asio::io_context &Context, ControlServerOptions Options,
-                 const FleetState &State, Describe Self, Metrics Counted);
+                 FleetState &State, Describe Self, Metrics Counted);
 
   Result<void> start();
 
 private:
-  using Answer = std::function<http::Response(const http::Request &)>;
+  using Answer =
+      std::function<boost::asio::awaitable<http::Response>(http::Request)>;
 
   Result<void> open(const std::string &Address, Answer Give);
   [[nodiscard]] http::Response ready(const http::Request &Asked) const;
   [[nodiscard]] http::Response directory(const http::Request &Asked);
   [[nodiscard]] const std::set<DataCentre> &
   cheapCentres(const std::string &Host);
-  [[nodiscard]] http::Response peer(const http::Request &Asked) const;
+  boost::asio::awaitable<http::Response> peer(http::Request Asked);
+  boost::asio::awaitable<http::Response> changes(http::Request Asked);
   [[nodiscard]] http::Response metrics() const;
 
   boost::asio::io_context &m_Context;
   ControlServerOptions m_Options;
-  const FleetState &m_State;
+  FleetState &m_State;
   Describe m_Self;
   Metrics m_Metrics;
-  AddressBook m_Book;
+  CallerDirectory m_Directory{CallerDirectoryOptions{}};
   std::map<std::string, std::set<DataCentre>> m_Centres; ///< By host.
   std::uint64_t m_CentresOf = 0; ///< The state that they were found from.
   std::vector<std::unique_ptr<http::Listener>> m_Listeners;
--- a/packages/gateway/src/gateway/control/FleetState.cpp
+++ b/packages/gateway/src/gateway/control/FleetState.cpp
@@ -2,11 +2,22 @@
 
 #include "adapter/ConfigCodec.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace carawaypond::gateway {
 
-FleetState::FleetState(VmName Self, EventLog &Log, Publish OnChange)
+namespace {
+
+/// Relative change of this VM's share that traffic has to know.
+constexpr double ShareStep = 0.15;
+
+} // namespace
+
+FleetState::FleetState(VmName Self, EventLog &Log, OwnLoad Load,
+                       Publish OnChange)
     : m_Log(Log), m_OnChange(std::move(OnChange)),
-      m_Vms(std::move(Self), VmBoardOptions{}) {}
+      m_Vms(std::move(Self), VmBoardOptions{}), m_OwnLoad(std::move(Load)) {}
 
 std::uint64_t FleetState::configVersion() const {
   return m_Table ? m_Table->version().value() : 0;
@@ -68,12 +79,23 @@
   m_IsDirty = m_IsDirty || Changed;
 }
 
+void FleetState::applyChanges(std::vector<ReplicaRecord> Put,
+                              const std::vector<ServerName> &Gone,
+                              std::uint64_t Revision) {
+  for (ReplicaRecord &Each : Put)
+    putReplica(std::move(Each));
+  for (const ServerName &Each : Gone)
+    removeReplica(Each);
+  m_ReplicaRevision = std::max(m_ReplicaRevision, Revision);
+  publish();
+}
+
 void FleetState::onStoreLost() { m_Book.onStoreLost(); }
 
 void FleetState::onStoreAnswered() { m_Book.onStoreAnswered(monotonicNow()); }
 
-bool FleetState::onBeat(const VmRecord &Record) {
-  return m_Vms.onBeat(Record, monotonicNow());
+bool FleetState::onBeat(const LoadedVm &Vm) {
+  return m_Vms.onBeat(Vm, monotonicNow());
 }
 
 void FleetState::onVmRecord(const VmRecord &Record) {
@@ -84,12 +106,9 @@
   TimePoint Now = monotonicNow();
   m_IsDirty = m_Book.expire(Now) || m_IsDirty;
   m_Vms.expire(Now);
-  std::size_t Sharing = m_Vms.sharing(Now);
-  if (Sharing != m_Sharing) {
-    LogLine Line("vms_changed");
-    Line.add("vms", static_cast<std::uint64_t>(Sharing));
-    m_Log.write(Line);
-    m_Sharing = Sharing;
+  double Share = m_Vms.share(m_OwnLoad(), Now);
+  if (std::abs(Share - m_Share) > ShareStep * m_Share) {
+    m_Share = Share;
     m_IsDirty = true;
   }
   publish();
@@ -100,11 +119,13 @@
     return;
   m_IsDirty = false;
   ++m_Changes;
+  m_ReplicaChanges.follow(m_Book.entries());
+  m_Signal.notify();
   auto View = std::make_shared<TrafficView>();
   View->Table = m_Table;
   for (const auto &[Id, Record] : m_Book.entries())
     View->Replicas.push_back(Record);
-  View->Vms = m_Sharing;
+  View->Share = m_Share;
   View->HasReplicas = m_HasReplicas;
   m_OnChange(std::move(View));
 }
--- a/packages/gateway/src/gateway/control/FleetState.h
+++ b/packages/gateway/src/gateway/control/FleetState.h
@@ -3,6 +3,8 @@
 #include "coordination/fleet/VmBoard.h"
 #include "coordination/replicas/ReplicaBook.h"
 #include "coordination/routing/RoutingTable.h"
+#include "gateway/control/ChangeSignal.h"
+#include "gateway/control/ReplicaChanges.h"
 #include "gateway/log/EventLog.h"
 #include "gateway/traffic/TrafficView.h"
 
@@ -20,9 +22,11 @@
 class FleetState {
 public:
   using Publish = std::function<void(std::shared_ptr<const TrafficView>)>;
+  using OwnLoad = std::function<VmLoad()>;
 
+  /// @param Load Gives this VM's load.
   /// @param OnChange Gets a new view whenever traffic has to know.
-  FleetState(VmName Self, EventLog &Log, Publish OnChange);
+  FleetState(VmName Self, EventLog &Log, OwnLoad Load, Publish OnChange);
 
   [[nodiscard]] const std::shared_ptr<const RoutingTable> &table() const {
     return m_Table;
@@ -40,6 +44,8 @@
   [[nodiscard]] const VmBoard &vms() const { return m_Vms; }
   /// @return How many views were published.
   [[nodiscard]] std::uint64_t changes() const { return m_Changes; }
+  /// @return Whether the list of replicas was ever read.
+  [[nodiscard]] bool hasReplicas() const { return m_HasReplicas; }
   /// @return Whether requests can be served.
   [[nodiscard]] bool isReady() const { return m_Table && m_HasReplicas; }
 
@@ -57,12 +63,21 @@
   void onStoreAnswered();
   /// @brief Takes a heartbeat.
   /// @return Whether its sender is new.
-  bool onBeat(const VmRecord &Record);
+  bool onBeat(const LoadedVm &Vm);
   void onVmRecord(const VmRecord &Record);
   /// @brief Looks at what time has changed.
   void tick();
   /// @brief Publishes changes that have piled up.
   void publish();
+  /// @brief Takes changes that another VM published.
+  void applyChanges(std::vector<ReplicaRecord> Put,
+                    const std::vector<ServerName> &Gone,
+                    std::uint64_t Revision);
+  /// @return Tells when something was published.
+  [[nodiscard]] ChangeSignal &signal() { return m_Signal; }
+  [[nodiscard]] const ReplicaChanges &replicaChanges() const {
+    return m_ReplicaChanges;
+  }
 
 private:
   EventLog &m_Log;
@@ -72,7 +87,10 @@
   ReplicaBook m_Book{ReplicaBookOptions{}};
   std::uint64_t m_ReplicaRevision = 0;
   VmBoard m_Vms;
-  std::size_t m_Sharing = 1;
+  OwnLoad m_OwnLoad;
+  double m_Share = 1;
+  ReplicaChanges m_ReplicaChanges;
+  ChangeSignal m_Signal;
   std::uint64_t m_Changes = 0;
   bool m_HasReplicas = false;
   bool m_IsDirty = false;
--- a/packages/gateway/src/gateway/control/FollowOptions.h
+++ b/packages/gateway/src/gateway/control/FollowOptions.h
@@ -8,9 +8,9 @@
 struct FollowOptions {
   /// How long a watch waits for changes; a connection that fell silent is
   /// noticed after it.
-  Milliseconds WatchWait{5'000};
+  Milliseconds WatchWait{1'500};
   /// How much longer than that its answer may take.
-  Milliseconds AnswerTimeout{1'200};
+  Milliseconds AnswerTimeout{900};
   /// Between an answer with changes and the next watch; changes meanwhile come
   /// in one answer.
   Milliseconds ReplicaPause{400};
@@ -18,8 +18,14 @@
   /// Between failed calls; doubles up to the second one.
   Milliseconds FirstRetry{100};
   Milliseconds MaxRetry{800};
+  /// How long a VM that is followed may wait with its answer for news.
+  Milliseconds ReaderWait{1'500};
+  /// How much longer than that its answer may take.
+  Milliseconds ReaderTimeout{500};
+  /// Between two looks at who reads the store.
+  Milliseconds RolePause{120};
   /// Between two looks at the other VMs' records.
-  Milliseconds RegistryInterval{20'000};
+  Milliseconds RegistryInterval{60'000};
 };
 
 } // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/control/ReaderFollower.cpp
@@ -0,0 +1,79 @@
+#include "gateway/control/ReaderFollower.h"
+
+namespace carawaypond::gateway {
+
+using boost::asio::awaitable;
+
+namespace {
+
+constexpr unsigned Ok = 200;
+
+} // namespace
+
+ReaderFollower::ReaderFollower(boost::asio::io_context &Context,
+                               FleetState &State, StoreRole &Role,
+                               const FollowOptions &Options)
+    : m_Context(Context), m_State(State), m_Role(Role), m_Options(Options),
+      m_Pause(Context, Options) {
+  m_Known.Wait = Options.ReaderWait;
+}
+
+awaitable<void> ReaderFollower::run() {
+  for (;;) {
+    auto Reader = m_Role.reader();
+    if (!Reader) {
+      m_Peer.reset();
+      co_await m_Pause.wait(m_Options.RolePause);
+      continue;
+    }
+    auto Answer = co_await ask(Reader->PeerAddress);
+    if (!Answer) {
+      m_Peer.reset();
+      m_Role.onReaderFailed(Answer.error().Message);
+      continue;
+    }
+    bool IsUseful = Answer.value().ReadsStore;
+    apply(std::move(Answer.value()));
+    if (!IsUseful)
+      m_Role.onReaderFailed("it lost the store");
+  }
+}
+
+awaitable<Result<ChangesAnswer>> ReaderFollower::ask(std::string Address) {
+  TimePoint Deadline =
+      monotonicNow() + m_Options.ReaderWait + m_Options.ReaderTimeout;
+  if (!m_Peer || m_Peer->address() != Address || !m_Peer->isOpen()) {
+    m_Peer =
+        std::make_unique<http::Connection>(m_Context.get_executor(), Address);
+    auto Connected =
+        co_await m_Peer->connect(monotonicNow() + m_Options.ReaderTimeout);
+    if (!Connected)
+      co_return boost::outcome_v2::failure(Connected.error());
+  }
+  m_Known.ConfigVersion = m_State.configVersion();
+  http::Request Asked = encodeChangesQuestion(m_Known);
+  auto Answer = co_await m_Peer->roundTrip(std::move(Asked), Deadline);
+  if (!Answer)
+    co_return boost::outcome_v2::failure(Answer.error());
+  auto Read = Answer.value().Status == Ok ? decodeChanges(Answer.value().Body)
+                                          : std::nullopt;
+  if (!Read)
+    co_return failure(ErrorCode::Malformed, Address + ": no list of changes");
+  co_return std::move(*Read);
+}
+
+void ReaderFollower::apply(ChangesAnswer Answer) {
+  m_Known.Life = Answer.Life;
+  m_Known.Sequence = Answer.Sequence;
+  if (!Answer.Config.is_null())
+    m_State.applyConfig(Answer.Config, "reader");
+  if (Answer.IsWhole && Answer.HasReplicas)
+    m_State.replaceReplicas(std::move(Answer.Put), Answer.ReplicaRevision,
+                            "reader");
+  else if (!Answer.IsWhole)
+    m_State.applyChanges(std::move(Answer.Put), Answer.Gone,
+                         Answer.ReplicaRevision);
+  m_State.publish();
+}
+
+} // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/control/ReplicaFollower.h
+++ b/packages/gateway/src/gateway/control/ReplicaFollower.h
@@ -6,6 +6,7 @@
 #include "gateway/control/FollowOptions.h"
 #include "gateway/control/RetryPause.h"
 #include "gateway/control/StoreHealth.h"
+#include "gateway/control/StoreRole.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -16,8 +17,8 @@
 class ReplicaFollower {
 public:
   ReplicaFollower(boost::asio::io_context &Context, adapter::StoreClient &Store,
-                  FleetState &State, StoreHealth &Health, EventLog &Log,
-                  const FollowOptions &Options);
+                  FleetState &State, StoreHealth &Health, StoreRole &Role,
+                  EventLog &Log, const FollowOptions &Options);
 
   /// @brief Follows for ever.
   boost::asio::awaitable<void> run();
@@ -33,6 +34,7 @@
   adapter::StoreClient &m_Store;
   FleetState &m_State;
   StoreHealth &m_Health;
+  StoreRole &m_Role;
   EventLog &m_Log;
   FollowOptions m_Options;
   RetryPause m_Pause;
--- a/packages/gateway/src/gateway/peers/Beat.cpp
+++ b/packages/gateway/src/gateway/peers/Beat.cpp
@@ -5,12 +5,16 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+
 namespace carawaypond::gateway {
 
 using nlohmann::json;
 
 namespace {
 
+constexpr double MaxCores = 10'000;
+constexpr double MaxRate = 1e9; ///< Attempts a second.
 constexpr std::string_view LiveName = "live";
 constexpr std::string_view StartingName = "starting";
 constexpr std::string_view LeavingName = "leaving";
@@ -55,7 +59,10 @@
 }
 
 std::string encodeBeat(const Beat &Sent) {
-  json Item = encodeVm(Sent.Vm);
+  json Item = encodeVm(Sent.Vm.Record);
+  Item["cores"] = Sent.Vm.Load.Capacity;
+  Item["rate"] = std::llround(Sent.Vm.Load.AttemptRate);
+  Item["reads"] = Sent.Vm.ReadsStore;
   Item["config"] = Sent.ConfigVersion;
   Item["replicas"] = Sent.ReplicaRevision;
   return Item.dump();
@@ -67,7 +74,11 @@
   if (!Vm)
     return std::nullopt;
   JsonReader Reader(Item, "");
-  Beat Read{.Vm = std::move(*Vm),
+  VmLoad Load{.Capacity = Reader.numberOr("cores", 0, MaxCores, 0),
+              .AttemptRate = Reader.numberOr("rate", 0, MaxRate, 0)};
+  Beat Read{.Vm = {.Record = std::move(*Vm),
+                   .Load = Load,
+                   .ReadsStore = Reader.booleanOr("reads", false)},
             .ConfigVersion = Reader.integer("config", 0, UINT64_MAX),
             .ReplicaRevision = Reader.integer("replicas", 0, UINT64_MAX)};
   if (Reader.error())
--- a/packages/gateway/src/gateway/peers/Beat.h
+++ b/packages/gateway/src/gateway/peers/Beat.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/membership/VmRecord.h"
+#include "coordination/fleet/VmLoad.h"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -13,7 +13,7 @@
 
 /// @brief What a VM tells the others from time to time.
 struct Beat {
-  VmRecord Vm;
+  LoadedVm Vm;
   std::uint64_t ConfigVersion = 0;   ///< In force there.
   std::uint64_t ReplicaRevision = 0; ///< Up to which it knows the replicas.
 };
--- a/packages/gateway/src/gateway/peers/BeatExchange.cpp
+++ b/packages/gateway/src/gateway/peers/BeatExchange.cpp
@@ -78,7 +78,7 @@
     return;
   bool IsNew = m_State.onBeat(Read->Vm);
   if (IsNew)
-    tell(Read->Vm.PeerAddress);
+    tell(Read->Vm.Record.PeerAddress);
   m_Heard(*Read);
 }
 
--- /dev/null
+++ b/packages/gateway/src/gateway/peers/Changes.cpp
@@ -0,0 +1,106 @@
+#include "gateway/peers/Changes.h"
+
+#include "coordination/model/JsonReader.h"
+#include "coordination/model/JsonText.h"
+#include "gateway/peers/PeerState.h"
+
+#include <charconv>
+
+namespace carawaypond::gateway {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::uint64_t MaxWaitMillis = 60'000;
+
+std::uint64_t numberOf(const http::Request &Asked, std::string_view Name) {
+  std::string Text = Asked.queryParameter(Name).value_or("");
+  std::uint64_t Value = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  return Value;
+}
+
+} // namespace
+
+http::Request encodeChangesQuestion(const ChangesQuestion &Asked) {
+  http::Request Request;
+  Request.Path = ChangesPath;
+  Request.Query = "life=" + std::to_string(Asked.Life.value()) +
+                  "&since=" + std::to_string(Asked.Sequence) +
+                  "&config=" + std::to_string(Asked.ConfigVersion) +
+                  "&wait_ms=" + std::to_string(Asked.Wait.count());
+  return Request;
+}
+
+ChangesQuestion decodeChangesQuestion(const http::Request &Asked) {
+  std::uint64_t Wait = std::min(numberOf(Asked, "wait_ms"), MaxWaitMillis);
+  return {.Life = Incarnation(numberOf(Asked, "life")),
+          .Sequence = numberOf(Asked, "since"),
+          .ConfigVersion = numberOf(Asked, "config"),
+          .Wait = Milliseconds(static_cast<std::int64_t>(Wait))};
+}
+
+bool hasNews(const ChangesQuestion &Asked, const FleetState &State) {
+  return State.configVersion() > Asked.ConfigVersion ||
+         State.replicaChanges().sequence() != Asked.Sequence;
+}
+
+std::string encodeChanges(const ChangesQuestion &Asked, const FleetState &State,
+                          Incarnation Life, bool ReadsStore) {
+  json Body;
+  Body["life"] = Life.value();
+  Body["sequence"] = State.replicaChanges().sequence();
+  Body["revision"] = State.replicaRevision();
+  Body["reads"] = ReadsStore;
+  Body["has_replicas"] = State.hasReplicas();
+  if (State.configVersion() > Asked.ConfigVersion)
+    Body["config"] = State.configDocument();
+  Body["put"] = json::array();
+  Body["gone"] = json::array();
+  auto Changes = Asked.Sequence == 0
+                     ? std::nullopt
+                     : State.replicaChanges().since(Asked.Sequence);
+  Body["whole"] = !Changes.has_value();
+  if (!Changes)
+    for (const auto &[Id, Each] : State.replicas().entries())
+      Body["put"].push_back(encodeReplica(Each));
+  else
+    for (const auto &Each : *Changes) {
+      if (Each.Record)
+        Body["put"].push_back(encodeReplica(*Each.Record));
+      else
+        Body["gone"].push_back(Each.Id.value());
+    }
+  return Body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<ChangesAnswer> decodeChanges(std::string_view Text) {
+  json Body = parseJsonText(Text);
+  JsonReader Reader(Body, "");
+  ChangesAnswer Read;
+  Read.Life = Incarnation(Reader.integer("life", 0, UINT64_MAX));
+  Read.Sequence = Reader.integer("sequence", 0, UINT64_MAX);
+  Read.ReplicaRevision = Reader.integer("revision", 0, UINT64_MAX);
+  Read.ReadsStore = Reader.booleanOr("reads", false);
+  Read.HasReplicas = Reader.booleanOr("has_replicas", false);
+  Read.IsWhole = Reader.booleanOr("whole", false);
+  for (const json &Each : Reader.array("put")) {
+    auto Replica = decodeReplica(Each);
+    if (!Replica)
+      return std::nullopt;
+    Read.Put.push_back(std::move(*Replica));
+  }
+  for (const json &Each : Reader.array("gone")) {
+    if (!Each.is_string())
+      return std::nullopt;
+    Read.Gone.emplace_back(Each.get<std::string>());
+  }
+  if (Reader.error())
+    return std::nullopt;
+  if (Reader.has("config"))
+    Read.Config = std::move(Body["config"]);
+  return Read;
+}
+
+} // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/peers/PeerFetcher.cpp
+++ b/packages/gateway/src/gateway/peers/PeerFetcher.cpp
@@ -68,7 +68,7 @@
   bool IsCutOff = m_Health.isLost() && (HasNewerConfig || HasNewerReplicas);
   if (m_IsFetching || !(IsBehind || IsCutOff))
     return;
-  boost::asio::co_spawn(m_Context, fetch(Heard.Vm.PeerAddress),
+  boost::asio::co_spawn(m_Context, fetch(Heard.Vm.Record.PeerAddress),
                         boost::asio::detached);
 }
 
--- a/packages/gateway/src/gateway/peers/PeerState.cpp
+++ b/packages/gateway/src/gateway/peers/PeerState.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint64_t MaxSlots = 1'000'000;
 constexpr std::uint64_t MaxWarmupMs = 3'600'000;
 
+} // namespace
+
 json encodeReplica(const ReplicaRecord &Replica) {
   json Item;
   Item["id"] = Replica.Id.value();
@@ -45,8 +47,6 @@
   return Replica;
 }
 
-} // namespace
-
 std::string encodePeerState(const FleetState &State, const VmRecord &Self) {
   json Body;
   Body["config"] = State.configDocument();
--- a/packages/gateway/src/gateway/peers/PeerState.h
+++ b/packages/gateway/src/gateway/peers/PeerState.h
@@ -21,6 +21,11 @@
   std::vector<VmRecord> Vms;
 };
 
+[[nodiscard]] nlohmann::json encodeReplica(const ReplicaRecord &Replica);
+/// @return Nothing if fields are missing or of another type.
+[[nodiscard]] std::optional<ReplicaRecord>
+decodeReplica(const nlohmann::json &Item);
+
 /// @param Self The record of the VM that answers.
 [[nodiscard]] std::string encodePeerState(const FleetState &State,
                                           const VmRecord &Self);
--- a/packages/gateway/src/gateway/traffic/CallerService.cpp
+++ b/packages/gateway/src/gateway/traffic/CallerService.cpp
@@ -58,7 +58,7 @@
 void CallerService::follow(std::shared_ptr<const TrafficView> View) {
   bool IsNewTable = View->Table != m_View->Table;
   m_View = std::move(View);
-  m_Fleet.setVms(m_View->Vms);
+  m_Fleet.setShare(m_View->Share);
   m_Fleet.replace(m_View->Replicas, monotonicNow());
   m_Links.follow(*m_View);
   if (IsNewTable)
--- a/packages/gateway/src/gateway/traffic/ReplicaLinks.cpp
+++ b/packages/gateway/src/gateway/traffic/ReplicaLinks.cpp
@@ -14,10 +14,9 @@
 constexpr double UsedConnections = 0.9;
 constexpr std::size_t MaxConnections = 16; ///< Of one VM to one replica.
 
-std::size_t connectionLimit(std::size_t MaxOfReplica, std::size_t Vms) {
-  double Share = UsedConnections * static_cast<double>(MaxOfReplica) /
-                 static_cast<double>(std::max<std::size_t>(Vms, 1));
-  return std::clamp<std::size_t>(static_cast<std::size_t>(Share), 1,
+std::size_t connectionLimit(std::size_t MaxOfReplica, double Share) {
+  double Part = UsedConnections * static_cast<double>(MaxOfReplica) * Share;
+  return std::clamp<std::size_t>(static_cast<std::size_t>(Part), 1,
                                  MaxConnections);
 }
 
@@ -41,7 +40,7 @@
     }
     if (Known.Pool && View.Table)
       Known.Pool->setLimit(connectionLimit(
-          View.Table->limits(Each.Service).MaxConnections, View.Vms));
+          View.Table->limits(Each.Service).MaxConnections, View.Share));
   }
   std::erase_if(
       m_Links, [&](const auto &Each) { return !Present.contains(Each.first); });
--- a/packages/gateway/src/gateway/traffic/TrafficView.h
+++ b/packages/gateway/src/gateway/traffic/TrafficView.h
@@ -12,7 +12,7 @@
 struct TrafficView {
   std::shared_ptr<const RoutingTable> Table; ///< Null until one is known.
   std::vector<ReplicaRecord> Replicas;
-  std::size_t Vms = 1;      ///< That share budgets and connections.
+  double Share = 1;         ///< This VM's part of budgets and connections.
   bool HasReplicas = false; ///< Whether the list of replicas was ever read.
 };
 
