Heartbeats between data centres go to two VMs of each, which pass them on

Now a VM's heartbeat leaves its data centre towards two VMs of each other one; their followers get the strongest far VMs with the changes. The cost of a replica elsewhere goes from 0.5 to 1.5 medians.

--- /dev/null
+++ b/packages/coordination/src/coordination/fleet/BeatTargets.cpp
@@ -0,0 +1,31 @@
+#include "coordination/fleet/BeatTargets.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+
+namespace carawaypond {
+
+namespace {
+
+constexpr std::size_t ContactsPerCentre = 2;
+
+} // namespace
+
+std::vector<VmRecord> beatTargets(const DataCentre &Own,
+                                  std::vector<VmRecord> Known) {
+  std::sort(Known.begin(), Known.end(),
+            [](const VmRecord &Left, const VmRecord &Right) {
+              return Left.Name < Right.Name;
+            });
+  std::map<DataCentre, std::size_t> Taken;
+  std::vector<VmRecord> Targets;
+  for (VmRecord &Each : Known) {
+    bool IsNear = Each.Centre == Own;
+    if (IsNear || Taken[Each.Centre]++ < ContactsPerCentre)
+      Targets.push_back(std::move(Each));
+  }
+  return Targets;
+}
+
+} // namespace carawaypond
--- a/packages/coordination/src/coordination/fleet/VmBoard.cpp
+++ b/packages/coordination/src/coordination/fleet/VmBoard.cpp
@@ -1,5 +1,7 @@
 #include "coordination/fleet/VmBoard.h"
 
+#include <algorithm>
+
 namespace carawaypond {
 
 namespace {
@@ -7,6 +9,7 @@
 /// What a VM counts for besides its load, as a part of the mean load: a VM that
 /// is not named to callers still gets some requests.
 constexpr double IdlePart = 0.25;
+constexpr std::size_t RelayedPerCentre = 8;
 constexpr double LeastIdleRate = 1; ///< Attempts a second.
 
 } // namespace
@@ -37,6 +40,22 @@
   return Heard;
 }
 
+std::vector<LoadedVm> VmBoard::far(const DataCentre &Own, TimePoint Now) const {
+  std::vector<LoadedVm> Far;
+  for (LoadedVm &Each : heard(Now))
+    if (Each.Record.Centre != Own)
+      Far.push_back(std::move(Each));
+  std::stable_sort(Far.begin(), Far.end(),
+                   [](const LoadedVm &Left, const LoadedVm &Right) {
+                     return Left.Load.Capacity > Right.Load.Capacity;
+                   });
+  std::map<DataCentre, std::size_t> Taken;
+  std::erase_if(Far, [&](const LoadedVm &Each) {
+    return ++Taken[Each.Record.Centre] > RelayedPerCentre;
+  });
+  return Far;
+}
+
 double VmBoard::share(const VmLoad &Own, TimePoint Now) const {
   double Total = Own.AttemptRate;
   double Count = 1;
--- a/packages/coordination/src/coordination/fleet/VmBoard.h
+++ b/packages/coordination/src/coordination/fleet/VmBoard.h
@@ -29,6 +29,10 @@
   [[nodiscard]] std::vector<LoadedVm> usable(TimePoint Now) const;
   /// @return The VMs besides this one that were heard of just now.
   [[nodiscard]] std::vector<LoadedVm> heard(TimePoint Now) const;
+  /// @return The strongest VMs outside @p Own that were heard of just now, a
+  /// few of each data centre, for VMs that don't hear them.
+  [[nodiscard]] std::vector<LoadedVm> far(const DataCentre &Own,
+                                          TimePoint Now) const;
   /// @return This VM's part of what all VMs share: budgets and connections. It
   /// follows the load, and the parts of all VMs add up to 1 if they agree.
   [[nodiscard]] double share(const VmLoad &Own, TimePoint Now) const;
--- a/packages/coordination/src/coordination/placement/PlacementOptions.h
+++ b/packages/coordination/src/coordination/placement/PlacementOptions.h
@@ -10,7 +10,7 @@
 /// route's median latency.
 struct PlacementOptions {
   DataCentre Centre;              ///< Of this VM.
-  double OtherCentreCost = 0.5;   ///< For a replica of another data centre.
+  double OtherCentreCost = 1.5;   ///< For a replica of another data centre.
   double WarmupFactor = 1.6;      ///< Slowness of a replica that warms up.
   double FailureCost = 6;         ///< For a replica that fails all requests.
   double StallCost = 8;           ///< For a replica that has stopped answering.
--- a/packages/gateway/src/gateway/control/ControlServers.cpp
+++ b/packages/gateway/src/gateway/control/ControlServers.cpp
@@ -121,8 +121,7 @@
   if (!IsKnown)
     Question.Sequence = 0;
   http::Response Answer;
-  Answer.Body =
-      encodeChanges(Question, m_State, m_Options.Life, m_Self().ReadsStore);
+  Answer.Body = encodeChanges(Question, m_State, m_Options.Life, m_Self());
   co_return Answer;
 }
 
--- a/packages/gateway/src/gateway/control/FleetState.cpp
+++ b/packages/gateway/src/gateway/control/FleetState.cpp
@@ -102,6 +102,10 @@
   m_Vms.onRecord(Record, monotonicNow());
 }
 
+void FleetState::onRelayed(const LoadedVm &Vm) {
+  m_Vms.onBeat(Vm, monotonicNow());
+}
+
 void FleetState::tick() {
   TimePoint Now = monotonicNow();
   m_IsDirty = m_Book.expire(Now) || m_IsDirty;
--- a/packages/gateway/src/gateway/control/FleetState.h
+++ b/packages/gateway/src/gateway/control/FleetState.h
@@ -65,6 +65,8 @@
   /// @return Whether its sender is new.
   bool onBeat(const LoadedVm &Vm);
   void onVmRecord(const VmRecord &Record);
+  /// @brief Takes a VM that another one has heard just now.
+  void onRelayed(const LoadedVm &Vm);
   /// @brief Looks at what time has changed.
   void tick();
   /// @brief Publishes changes that have piled up.
--- a/packages/gateway/src/gateway/control/ReaderFollower.cpp
+++ b/packages/gateway/src/gateway/control/ReaderFollower.cpp
@@ -73,6 +73,8 @@
   else if (!Answer.IsWhole)
     m_State.applyChanges(std::move(Answer.Put), Answer.Gone,
                          Answer.ReplicaRevision);
+  for (const LoadedVm &Each : Answer.FarVms)
+    m_State.onRelayed(Each);
   m_State.publish();
 }
 
--- a/packages/gateway/src/gateway/peers/Beat.cpp
+++ b/packages/gateway/src/gateway/peers/Beat.cpp
@@ -58,11 +58,30 @@
   return Vm;
 }
 
+json encodeLoadedVm(const LoadedVm &Vm) {
+  json Item = encodeVm(Vm.Record);
+  Item["cores"] = Vm.Load.Capacity;
+  Item["rate"] = std::llround(Vm.Load.AttemptRate);
+  Item["reads"] = Vm.ReadsStore;
+  return Item;
+}
+
+std::optional<LoadedVm> decodeLoadedVm(const json &Item) {
+  auto Vm = decodeVm(Item);
+  if (!Vm)
+    return std::nullopt;
+  JsonReader Reader(Item, "");
+  LoadedVm Read{.Record = std::move(*Vm),
+                .Load = {.Capacity = Reader.numberOr("cores", 0, MaxCores, 0),
+                         .AttemptRate = Reader.numberOr("rate", 0, MaxRate, 0)},
+                .ReadsStore = Reader.booleanOr("reads", false)};
+  if (Reader.error())
+    return std::nullopt;
+  return Read;
+}
+
 std::string encodeBeat(const Beat &Sent) {
-  json Item = encodeVm(Sent.Vm.Record);
-  Item["cores"] = Sent.Vm.Load.Capacity;
-  Item["rate"] = std::llround(Sent.Vm.Load.AttemptRate);
-  Item["reads"] = Sent.Vm.ReadsStore;
+  json Item = encodeLoadedVm(Sent.Vm);
   Item["config"] = Sent.ConfigVersion;
   Item["replicas"] = Sent.ReplicaRevision;
   return Item.dump();
@@ -70,15 +89,11 @@
 
 std::optional<Beat> decodeBeat(std::string_view Text) {
   json Item = parseJsonText(Text);
-  auto Vm = decodeVm(Item);
+  auto Vm = decodeLoadedVm(Item);
   if (!Vm)
     return std::nullopt;
   JsonReader Reader(Item, "");
-  VmLoad Load{.Capacity = Reader.numberOr("cores", 0, MaxCores, 0),
-              .AttemptRate = Reader.numberOr("rate", 0, MaxRate, 0)};
-  Beat Read{.Vm = {.Record = std::move(*Vm),
-                   .Load = Load,
-                   .ReadsStore = Reader.booleanOr("reads", false)},
+  Beat Read{.Vm = std::move(*Vm),
             .ConfigVersion = Reader.integer("config", 0, UINT64_MAX),
             .ReplicaRevision = Reader.integer("replicas", 0, UINT64_MAX)};
   if (Reader.error())
--- a/packages/gateway/src/gateway/peers/Beat.h
+++ b/packages/gateway/src/gateway/peers/Beat.h
@@ -22,6 +22,11 @@
 /// @return Nothing if @p Text is no heartbeat.
 [[nodiscard]] std::optional<Beat> decodeBeat(std::string_view Text);
 
+[[nodiscard]] nlohmann::json encodeLoadedVm(const LoadedVm &Vm);
+/// @return Nothing if fields are missing or of another type.
+[[nodiscard]] std::optional<LoadedVm>
+decodeLoadedVm(const nlohmann::json &Item);
+
 [[nodiscard]] nlohmann::json encodeVm(const VmRecord &Vm);
 /// @return Nothing if fields are missing or of another type.
 [[nodiscard]] std::optional<VmRecord> decodeVm(const nlohmann::json &Item);
--- a/packages/gateway/src/gateway/peers/BeatExchange.cpp
+++ b/packages/gateway/src/gateway/peers/BeatExchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/peers/BeatExchange.h"
 
+#include "coordination/fleet/BeatTargets.h"
 #include "http/Endpoint.h"
 
 #include <boost/asio/buffer.hpp>
@@ -45,7 +46,8 @@
 }
 
 void BeatExchange::tellAll() {
-  for (const VmRecord &Each : m_State.vms().known())
+  DataCentre Own = m_Describe().Vm.Record.Centre;
+  for (const VmRecord &Each : beatTargets(Own, m_State.vms().known()))
     tell(Each.PeerAddress);
 }
 
--- a/packages/gateway/src/gateway/peers/BeatExchange.h
+++ b/packages/gateway/src/gateway/peers/BeatExchange.h
@@ -34,7 +34,7 @@
                FleetState &State, Own Describe, OnBeat Heard);
 
   Result<void> start();
-  /// @brief Tells all VMs at once.
+  /// @brief Tells the VMs that are to hear this one, now.
   void tellAll();
   /// @brief Tells one VM, by its address for peers.
   void tell(const std::string &PeerAddress);
--- a/packages/gateway/src/gateway/peers/Changes.cpp
+++ b/packages/gateway/src/gateway/peers/Changes.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/model/JsonReader.h"
 #include "coordination/model/JsonText.h"
+#include "gateway/peers/Beat.h"
 #include "gateway/peers/PeerState.h"
 
 #include <charconv>
@@ -47,12 +48,12 @@
 }
 
 std::string encodeChanges(const ChangesQuestion &Asked, const FleetState &State,
-                          Incarnation Life, bool ReadsStore) {
+                          Incarnation Life, const LoadedVm &Self) {
   json Body;
   Body["life"] = Life.value();
   Body["sequence"] = State.replicaChanges().sequence();
   Body["revision"] = State.replicaRevision();
-  Body["reads"] = ReadsStore;
+  Body["reads"] = Self.ReadsStore;
   Body["has_replicas"] = State.hasReplicas();
   if (State.configVersion() > Asked.ConfigVersion)
     Body["config"] = State.configDocument();
@@ -62,6 +63,10 @@
                      ? std::nullopt
                      : State.replicaChanges().since(Asked.Sequence);
   Body["whole"] = !Changes.has_value();
+  Body["vms"] = json::array();
+  for (const LoadedVm &Each :
+       State.vms().far(Self.Record.Centre, monotonicNow()))
+    Body["vms"].push_back(encodeLoadedVm(Each));
   if (!Changes)
     for (const auto &[Id, Each] : State.replicas().entries())
       Body["put"].push_back(encodeReplica(Each));
@@ -96,6 +101,12 @@
       return std::nullopt;
     Read.Gone.emplace_back(Each.get<std::string>());
   }
+  for (const json &Each : Reader.array("vms")) {
+    auto Vm = decodeLoadedVm(Each);
+    if (!Vm)
+      return std::nullopt;
+    Read.FarVms.push_back(std::move(*Vm));
+  }
   if (Reader.error())
     return std::nullopt;
   if (Reader.has("config"))
--- a/packages/gateway/src/gateway/peers/Changes.h
+++ b/packages/gateway/src/gateway/peers/Changes.h
@@ -37,6 +37,7 @@
   nlohmann::json Config;    ///< Null if there is no newer one.
   std::vector<ReplicaRecord> Put;
   std::vector<ServerName> Gone;
+  std::vector<LoadedVm> FarVms; ///< Of other data centres.
 };
 
 [[nodiscard]] http::Request encodeChangesQuestion(const ChangesQuestion &Asked);
@@ -45,7 +46,7 @@
                            const FleetState &State);
 [[nodiscard]] std::string encodeChanges(const ChangesQuestion &Asked,
                                         const FleetState &State,
-                                        Incarnation Life, bool ReadsStore);
+                                        Incarnation Life, const LoadedVm &Self);
 /// @return Nothing if @p Text can't be read as a whole.
 [[nodiscard]] std::optional<ChangesAnswer> decodeChanges(std::string_view Text);
 
