A VM that follows another takes its decisions without doubts of its own

A VM that had lost the store believes entries that go missing until the store answers it again; having become a follower it never called the store, so that entries which left were kept for ever (log: replica_missing 0.3 s after the removal, no replica_gone). Ruled out: a late sign, it came after 0.3 s. What the followed VM decided is now adopted.

Also tests of the decisions, and names of their own for StartAttempt, RequestRoute and ReplicaLimits: SendAttempt and others had two definitions in one namespace, which the tests' first run crashed on.

--- a/packages/coordination/src/coordination/addresses/ShardCentres.cpp
+++ b/packages/coordination/src/coordination/addresses/ShardCentres.cpp
@@ -13,7 +13,7 @@
 std::unordered_set<ServiceName> shardsOf(std::string_view Host,
                                          const RoutingTable &Table) {
   std::unordered_set<ServiceName> Shards;
-  for (const Route &Each : Table.routes()) {
+  for (const RequestRoute &Each : Table.routes()) {
     const auto *Set = std::get_if<ShardSetTarget>(&Each.Target);
     if (Set != nullptr && Each.Host == Host)
       Shards.insert(Set->Shards.begin(), Set->Shards.end());
--- a/packages/coordination/src/coordination/placement/ReplicaFleet.cpp
+++ b/packages/coordination/src/coordination/placement/ReplicaFleet.cpp
@@ -15,7 +15,7 @@
   return m_Services.try_emplace(Name, m_Options).first->second;
 }
 
-RouteLatency &ReplicaFleet::latency(const Route &Of) {
+RouteLatency &ReplicaFleet::latency(const RequestRoute &Of) {
   return m_Latencies
       .try_emplace(Of.Name, Duration(Of.Objective) / ObjectivePerMedian)
       .first->second;
--- a/packages/coordination/src/coordination/placement/ReplicaFleet.h
+++ b/packages/coordination/src/coordination/placement/ReplicaFleet.h
@@ -3,7 +3,7 @@
 #include "coordination/placement/PlacementOptions.h"
 #include "coordination/placement/RouteLatency.h"
 #include "coordination/placement/ServiceFleet.h"
-#include "coordination/routing/Route.h"
+#include "coordination/routing/RequestRoute.h"
 
 #include <string>
 #include <unordered_map>
@@ -28,7 +28,7 @@
   /// @return The service, made if it is not known yet.
   ServiceFleet &service(const ServiceName &Name);
   /// @return The latency of @p Of, with a first guess from its objective.
-  RouteLatency &latency(const Route &Of);
+  RouteLatency &latency(const RequestRoute &Of);
   /// @brief Takes all replicas that are known now.
   /// @return Replicas that were known and are no more.
   std::vector<ServerName> replace(const std::vector<ReplicaRecord> &Known,
--- a/packages/coordination/src/coordination/replicas/ReplicaBook.cpp
+++ b/packages/coordination/src/coordination/replicas/ReplicaBook.cpp
@@ -1,6 +1,7 @@
 #include "coordination/replicas/ReplicaBook.h"
 
 #include <algorithm>
+#include <set>
 
 namespace carawaypond {
 
@@ -49,23 +50,44 @@
   return false;
 }
 
+std::vector<ServerName>
+ReplicaBook::absentFrom(const std::vector<ReplicaRecord> &Listed) const {
+  std::set<ServerName> Present;
+  for (const ReplicaRecord &Each : Listed)
+    Present.insert(Each.Id);
+  std::vector<ServerName> Absent;
+  for (const auto &[Id, Record] : m_Entries)
+    if (!Present.contains(Id))
+      Absent.push_back(Id);
+  return Absent;
+}
+
 bool ReplicaBook::replaceAll(std::vector<ReplicaRecord> Listed, TimePoint Now) {
   bool Changed = false;
-  std::vector<ServerName> Gone;
-  for (const auto &[Id, Record] : m_Entries) {
-    bool IsListed =
-        std::any_of(Listed.begin(), Listed.end(),
-                    [&](const ReplicaRecord &Each) { return Each.Id == Id; });
-    if (!IsListed)
-      Gone.push_back(Id);
-  }
-  for (const ServerName &Id : Gone)
+  for (const ServerName &Id : absentFrom(Listed))
     Changed = remove(Id, Now) || Changed;
   for (ReplicaRecord &Record : Listed)
     Changed = put(std::move(Record)) || Changed;
   return Changed;
 }
 
+bool ReplicaBook::adopt(std::vector<ReplicaRecord> Put,
+                        const std::vector<ServerName> &Gone) {
+  bool Changed = false;
+  for (ReplicaRecord &Record : Put)
+    Changed = put(std::move(Record)) || Changed;
+  for (const ServerName &Id : Gone) {
+    m_Missing.erase(Id);
+    Changed = m_Entries.erase(Id) > 0 || Changed;
+  }
+  return Changed;
+}
+
+bool ReplicaBook::adoptAll(std::vector<ReplicaRecord> Used) {
+  std::vector<ServerName> Gone = absentFrom(Used);
+  return adopt(std::move(Used), Gone);
+}
+
 void ReplicaBook::onStoreLost() { m_IsStoreLost = true; }
 
 void ReplicaBook::onStoreAnswered(TimePoint Now) {
--- a/packages/coordination/src/coordination/replicas/ReplicaBook.h
+++ b/packages/coordination/src/coordination/replicas/ReplicaBook.h
@@ -39,6 +39,13 @@
   bool remove(const ServerName &Id, TimePoint Now);
   /// @brief Takes the list of all entries.
   bool replaceAll(std::vector<ReplicaRecord> Listed, TimePoint Now);
+  /// @brief Takes what another VM decided, without doubts of this VM's own.
+  /// @param Gone Entries that it no longer uses.
+  /// @return Whether anything that matters to placement changed.
+  bool adopt(std::vector<ReplicaRecord> Put,
+             const std::vector<ServerName> &Gone);
+  /// @brief Takes all entries that another VM uses.
+  bool adoptAll(std::vector<ReplicaRecord> Used);
   /// @brief Takes a failed call to the store.
   void onStoreLost();
   /// @brief Takes a successful call to the store.
@@ -48,6 +55,9 @@
 
 private:
   [[nodiscard]] bool isDoubted(TimePoint Now) const;
+  /// @return Entries that @p Listed lacks.
+  [[nodiscard]] std::vector<ServerName>
+  absentFrom(const std::vector<ReplicaRecord> &Listed) const;
 
   ReplicaBookOptions m_Options;
   Entries m_Entries;
--- a/packages/coordination/src/coordination/routing/ServiceLimits.h
+++ b/packages/coordination/src/coordination/routing/ReplicaLimits.h
@@ -5,7 +5,7 @@
 namespace carawaypond {
 
 /// @brief What the replicas of one service take from all VMs together.
-struct ServiceLimits {
+struct ReplicaLimits {
   std::size_t MaxConnections = 1; ///< To each replica.
 };
 
--- a/packages/coordination/src/coordination/routing/Route.h
+++ b/packages/coordination/src/coordination/routing/RequestRoute.h
@@ -39,7 +39,7 @@
 using RouteTarget = std::variant<SingleTarget, WeightedTarget, ShardSetTarget>;
 
 /// @brief How requests of one host below one path are handled.
-struct Route {
+struct RequestRoute {
   std::string Name;
   std::string Host;
   std::string Prefix; ///< Begins and ends with a slash.
--- a/packages/coordination/src/coordination/routing/RoutingTable.cpp
+++ b/packages/coordination/src/coordination/routing/RoutingTable.cpp
@@ -24,8 +24,9 @@
 
 } // namespace
 
-RoutingTable::RoutingTable(ConfigVersion Version, std::vector<Route> Routes,
-                           Services Limits, CallerLimits Callers)
+RoutingTable::RoutingTable(ConfigVersion Version,
+                           std::vector<RequestRoute> Routes, Services Limits,
+                           CallerLimits Callers)
     : m_Version(Version), m_Routes(std::move(Routes)),
       m_Services(std::move(Limits)), m_Callers(Callers) {
   for (std::size_t I = 0; I < m_Routes.size(); ++I)
@@ -33,13 +34,13 @@
         normalizedHost(m_Routes[I].Host) + m_Routes[I].Prefix, I);
 }
 
-ServiceLimits RoutingTable::limits(const ServiceName &Service) const {
+ReplicaLimits RoutingTable::limits(const ServiceName &Service) const {
   auto Found = m_Services.find(Service);
-  return Found == m_Services.end() ? ServiceLimits{} : Found->second;
+  return Found == m_Services.end() ? ReplicaLimits{} : Found->second;
 }
 
-const Route *RoutingTable::find(std::string_view Host,
-                                std::string_view Path) const {
+const RequestRoute *RoutingTable::find(std::string_view Host,
+                                       std::string_view Path) const {
   std::string Key = normalizedHost(Host);
   std::size_t HostLength = Key.size();
   std::size_t Slash = Path.rfind('/');
--- a/packages/coordination/src/coordination/routing/RoutingTable.h
+++ b/packages/coordination/src/coordination/routing/RoutingTable.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "coordination/routing/CallerLimits.h"
-#include "coordination/routing/Route.h"
-#include "coordination/routing/ServiceLimits.h"
+#include "coordination/routing/ReplicaLimits.h"
+#include "coordination/routing/RequestRoute.h"
 #include "core/id/Ids.h"
 
 #include <string>
@@ -15,25 +15,27 @@
 /// @brief One version of the routes, immutable once made.
 class RoutingTable {
 public:
-  using Services = std::unordered_map<ServiceName, ServiceLimits>;
+  using Services = std::unordered_map<ServiceName, ReplicaLimits>;
 
-  RoutingTable(ConfigVersion Version, std::vector<Route> Routes,
+  RoutingTable(ConfigVersion Version, std::vector<RequestRoute> Routes,
                Services Limits, CallerLimits Callers);
 
   [[nodiscard]] ConfigVersion version() const { return m_Version; }
-  [[nodiscard]] const std::vector<Route> &routes() const { return m_Routes; }
+  [[nodiscard]] const std::vector<RequestRoute> &routes() const {
+    return m_Routes;
+  }
   [[nodiscard]] const CallerLimits &callerLimits() const { return m_Callers; }
   /// @return The limits of @p Service; the defaults if it is not named.
-  [[nodiscard]] ServiceLimits limits(const ServiceName &Service) const;
+  [[nodiscard]] ReplicaLimits limits(const ServiceName &Service) const;
   /// @brief The route of @p Host whose prefix is the longest that begins
   /// @p Path, or null.
   /// @param Host As in the request's header: any case, a port may follow.
-  [[nodiscard]] const Route *find(std::string_view Host,
-                                  std::string_view Path) const;
+  [[nodiscard]] const RequestRoute *find(std::string_view Host,
+                                         std::string_view Path) const;
 
 private:
   ConfigVersion m_Version;
-  std::vector<Route> m_Routes;
+  std::vector<RequestRoute> m_Routes;
   Services m_Services;
   CallerLimits m_Callers;
   std::unordered_map<std::string, std::size_t> m_ByHostAndPrefix;
--- a/packages/coordination/src/coordination/routing/WeightedPicker.h
+++ b/packages/coordination/src/coordination/routing/WeightedPicker.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/routing/Route.h"
+#include "coordination/routing/RequestRoute.h"
 
 #include <unordered_map>
 
--- a/packages/coordination/src/coordination/routing/fwd.h
+++ b/packages/coordination/src/coordination/routing/fwd.h
@@ -4,8 +4,8 @@
 
 enum class RequestKind;
 struct CallerLimits;
-struct Route;
-struct ServiceLimits;
+struct RequestRoute;
+struct ReplicaLimits;
 struct ShardSetTarget;
 struct SingleTarget;
 struct WeightedService;
--- a/packages/coordination/src/coordination/run/RequestRun.cpp
+++ b/packages/coordination/src/coordination/run/RequestRun.cpp
@@ -23,7 +23,7 @@
     : m_Plan(std::move(Plan)), m_Fleet(Fleet), m_Options(Options),
       m_Latency(Fleet.latency(*m_Plan.Chosen)), m_StartedAt(Now),
       m_NextId(FirstId.value()) {
-  const Route &Chosen = *m_Plan.Chosen;
+  const RequestRoute &Chosen = *m_Plan.Chosen;
   m_ObjectiveAt =
       Now + Chosen.Objective - m_Plan.AlreadyWaited - m_Options.CallerAllowance;
   Milliseconds Patience = std::min(m_Plan.CallerPatience, Chosen.Timeout);
@@ -149,10 +149,10 @@
   Replica.onSent(Id, m_Latency.median(), Now);
   To.Attempts.push_back(
       {.Id = Id, .Replica = Replica.record().Id, .SentAt = Now, .Ended = {}});
-  Out.push_back(SendAttempt{.Id = Id,
-                            .Service = To.Service,
-                            .Replica = Replica.record().Id,
-                            .IsExtra = IsExtra});
+  Out.push_back(StartAttempt{.Id = Id,
+                             .Service = To.Service,
+                             .Replica = Replica.record().Id,
+                             .IsExtra = IsExtra});
 }
 
 bool RequestRun::sendExtra(Target &To, double Reserve, RunActions &Out,
--- a/packages/coordination/src/coordination/run/RequestRun.h
+++ b/packages/coordination/src/coordination/run/RequestRun.h
@@ -2,7 +2,7 @@
 
 #include "coordination/placement/AttemptResult.h"
 #include "coordination/placement/ReplicaFleet.h"
-#include "coordination/routing/Route.h"
+#include "coordination/routing/RequestRoute.h"
 #include "coordination/routing/RoutingTable.h"
 #include "coordination/run/RunActions.h"
 #include "coordination/run/RunOptions.h"
@@ -18,7 +18,7 @@
 /// @brief What a run is to do, and until when.
 struct RunPlan {
   std::shared_ptr<const RoutingTable> Table; ///< Keeps the route alive.
-  const Route *Chosen = nullptr;
+  const RequestRoute *Chosen = nullptr;
   std::vector<ServiceName> Services; ///< One, or every shard.
   Milliseconds CallerPatience{0};    ///< How long the caller waits from now.
   Milliseconds AlreadyWaited{0};     ///< By the caller, before this attempt.
@@ -46,7 +46,7 @@
   [[nodiscard]] TimePoint deadline() const { return m_Deadline; }
   /// @return The greatest number of attempts that this run can make.
   [[nodiscard]] std::size_t maxAttempts() const;
-  [[nodiscard]] const Route &route() const { return *m_Plan.Chosen; }
+  [[nodiscard]] const RequestRoute &route() const { return *m_Plan.Chosen; }
   [[nodiscard]] const RunPlan &plan() const { return m_Plan; }
 
   RunActions start(TimePoint Now);
--- a/packages/coordination/src/coordination/run/RunActions.h
+++ b/packages/coordination/src/coordination/run/RunActions.h
@@ -10,7 +10,7 @@
 namespace carawaypond {
 
 /// @brief Send the request to one replica.
-struct SendAttempt {
+struct StartAttempt {
   SubrequestId Id;
   ServiceName Service;
   ServerName Replica;
@@ -50,7 +50,7 @@
   FailureReason Why = FailureReason::ReplicaLost;
 };
 
-using RunAction = std::variant<SendAttempt, AbandonAttempt, AnswerParts,
+using RunAction = std::variant<StartAttempt, AbandonAttempt, AnswerParts,
                                RelayReply, RefuseRequest, FailRequest>;
 using RunActions = std::vector<RunAction>;
 
--- a/packages/coordination/src/coordination/run/fwd.h
+++ b/packages/coordination/src/coordination/run/fwd.h
@@ -9,7 +9,7 @@
 struct RefuseRequest;
 struct FailRequest;
 struct RunOptions;
-struct SendAttempt;
+struct StartAttempt;
 class RequestRun;
 
 } // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/test/coordination/budget/ArrivalBudgetTest.cpp
@@ -0,0 +1,46 @@
+#include "coordination/budget/ArrivalBudget.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+
+using namespace carawaypond;
+
+TEST_CASE(
+    "the VMs' extra arrivals keep to the service's budget in any window") {
+  bool Held = rc::check([] {
+    ArrivalBudgetOptions Options{.Ratio = 0.2, .Slack = 56};
+    auto Vms = *rc::gen::inRange<std::size_t>(1, 9);
+    std::vector<ArrivalBudget> Budgets(Vms, ArrivalBudget(Options));
+    TimePoint Now{std::chrono::hours(1)};
+    std::deque<std::pair<TimePoint, bool>> Seen; // the bool: an extra arrival
+    for (int I = 0; I < 1'500; ++I) {
+      Now += Milliseconds(*rc::gen::inRange(0, 40));
+      ArrivalBudget &Own = Budgets[*rc::gen::inRange<std::size_t>(0, Vms)];
+      Own.countRequest(Now);
+      Seen.emplace_back(Now, false);
+      bool Spent = Own.trySpend(1.0 / static_cast<double>(Vms), 0, Now);
+      if (Spent)
+        Seen.emplace_back(Now, true);
+      while (Seen.front().first <= Now - Options.Window)
+        Seen.pop_front();
+      double Requests = 0;
+      double Extras = 0;
+      for (const auto &[At, IsExtra] : Seen)
+        ++(IsExtra ? Extras : Requests);
+      RC_ASSERT(Extras <= Options.Ratio * Requests + Options.Slack);
+    }
+  });
+  CHECK(Held);
+}
+
+TEST_CASE("a reserve is left for retries") {
+  ArrivalBudget Budget({.Ratio = 0, .Slack = 10});
+  TimePoint Now{std::chrono::hours(1)};
+  int Hedges = 0;
+  while (Budget.trySpend(1, 3, Now))
+    ++Hedges;
+  CHECK(Hedges == 5);
+  CHECK(Budget.trySpend(1, 0, Now));
+}
--- /dev/null
+++ b/packages/coordination/test/coordination/fleet/ReaderChoiceTest.cpp
@@ -0,0 +1,63 @@
+#include "coordination/fleet/ReaderChoice.h"
+#include "coordination/fleet/BeatTargets.h"
+
+#include <doctest/doctest.h>
+
+using namespace carawaypond;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::hours(1)};
+
+LoadedVm makeVm(const std::string &Name, const std::string &Centre,
+                bool Reads = true) {
+  LoadedVm Vm;
+  Vm.Record.Name = VmName(Name);
+  Vm.Record.Centre = DataCentre(Centre);
+  Vm.ReadsStore = Reads;
+  return Vm;
+}
+
+} // namespace
+
+TEST_CASE("each data centre has one reader, on which its VMs agree") {
+  const std::vector<LoadedVm> Vms = {makeVm("a1", "a"), makeVm("a2", "a"),
+                                     makeVm("b1", "b"), makeVm("b2", "b")};
+  int Readers = 0;
+  for (const LoadedVm &Self : Vms) {
+    ReaderChoice Choice({}, Start);
+    auto Reader = Choice.reader(Self, Vms, Start);
+    if (!Reader)
+      ++Readers;
+    else
+      CHECK(Reader->Centre == Self.Record.Centre);
+  }
+  CHECK(Readers == 2);
+}
+
+TEST_CASE("a VM that lost the store or leaves is not followed") {
+  ReaderChoice Choice({}, Start);
+  LoadedVm Self = makeVm("a3", "a");
+  LoadedVm Leaving = makeVm("a2", "a");
+  Leaving.Record.State = VmState::Leaving;
+  CHECK_FALSE(Choice.reader(Self, {makeVm("a1", "a", false), Leaving}, Start));
+}
+
+TEST_CASE("after its reader failed a VM reads the store itself for a while") {
+  ReaderChoice Choice({.DistrustTime = Milliseconds(4'000)}, Start);
+  LoadedVm Self = makeVm("a2", "a");
+  std::vector<LoadedVm> Heard = {makeVm("a1", "a")};
+  CHECK(Choice.reader(Self, Heard, Start));
+  Choice.onReaderFailed(Start);
+  CHECK_FALSE(Choice.reader(Self, Heard, Start + Milliseconds(3'900)));
+  CHECK(Choice.reader(Self, Heard, Start + Milliseconds(4'000)));
+}
+
+TEST_CASE("heartbeats leave a data centre towards two VMs of each other one") {
+  std::vector<VmRecord> Known;
+  for (const char *Centre : {"a", "b", "c"})
+    for (int I = 0; I < 5; ++I)
+      Known.push_back(makeVm(Centre + std::to_string(I), Centre).Record);
+  auto Targets = beatTargets(DataCentre("a"), Known);
+  CHECK(Targets.size() == 5 + 2 + 2);
+}
--- /dev/null
+++ b/packages/coordination/test/coordination/fleet/VmBoardTest.cpp
@@ -0,0 +1,71 @@
+#include "coordination/fleet/VmBoard.h"
+
+#include <doctest/doctest.h>
+
+using namespace carawaypond;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::hours(1)};
+
+LoadedVm makeVm(const std::string &Name, double Rate = 0,
+                std::uint64_t Life = 1) {
+  LoadedVm Vm;
+  Vm.Record.Name = VmName(Name);
+  Vm.Record.Life = Incarnation(Life);
+  Vm.Record.Centre = DataCentre("umea-a");
+  Vm.Load = {.Capacity = 0.25, .AttemptRate = Rate};
+  return Vm;
+}
+
+} // namespace
+
+TEST_CASE("a VM that falls silent or leaves is not usable") {
+  VmBoard Board(VmName("self"), {});
+  for (const char *Name : {"a", "b", "c"})
+    Board.onBeat(makeVm(Name), Start);
+  CHECK(Board.usable(Start).size() == 3);
+  TimePoint Later = Start + Milliseconds(2'500);
+  Board.onBeat(makeVm("a"), Later);
+  LoadedVm Leaving = makeVm("b");
+  Leaving.Record.State = VmState::Leaving;
+  Board.onBeat(Leaving, Later);
+  REQUIRE(Board.usable(Later).size() == 1);
+  CHECK(Board.usable(Later).front().Record.Name == VmName("a"));
+}
+
+TEST_CASE("a VM that hears hardly anybody goes on naming the others") {
+  VmBoard Board(VmName("self"), {});
+  for (const char *Name : {"a", "b", "c"})
+    Board.onBeat(makeVm(Name), Start);
+  CHECK(Board.usable(Start + Milliseconds(3'000)).size() == 3);
+}
+
+TEST_CASE("leaving is undone by a restart only") {
+  VmBoard Board(VmName("self"), {});
+  LoadedVm Leaving = makeVm("a");
+  Leaving.Record.State = VmState::Leaving;
+  Board.onBeat(Leaving, Start);
+  Board.onBeat(makeVm("a"), Start);
+  CHECK(Board.usable(Start).empty());
+  CHECK(Board.onBeat(makeVm("a", 0, 2), Start));
+  CHECK(Board.usable(Start).size() == 1);
+}
+
+TEST_CASE("the shares of all VMs follow the load and add up to 1") {
+  const std::vector<LoadedVm> Vms = {makeVm("a", 900), makeVm("b", 600),
+                                     makeVm("c", 0), makeVm("d", 0)};
+  double Sum = 0;
+  std::vector<double> Shares;
+  for (const LoadedVm &Self : Vms) {
+    VmBoard Board(Self.Record.Name, {});
+    for (const LoadedVm &Each : Vms)
+      Board.onBeat(Each, Start);
+    Shares.push_back(Board.share(Self.Load, Start));
+    Sum += Shares.back();
+  }
+  CHECK(Sum == doctest::Approx(1));
+  CHECK(Shares[0] > Shares[1]);
+  CHECK(Shares[1] > Shares[2]);
+  CHECK(Shares[2] > 0);
+}
--- /dev/null
+++ b/packages/coordination/test/coordination/placement/ReplicaGaugeTest.cpp
@@ -0,0 +1,88 @@
+#include "coordination/placement/ReplicaGauge.h"
+#include "coordination/placement/ServiceFleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace carawaypond;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::hours(1)};
+constexpr Duration Normal = Milliseconds(10);
+const PlacementOptions Options;
+
+ReplicaRecord makeRecord(const std::string &Id) {
+  ReplicaRecord Record;
+  Record.Id = ServerName(Id);
+  Record.Slots = 2;
+  return Record;
+}
+
+/// @brief One request that ends after @p Took.
+void exchange(ReplicaGauge &Gauge, Duration Took, TimePoint Now,
+              AttemptResult How = AttemptResult::Served) {
+  static std::uint64_t Next = 1;
+  SubrequestId Id(Next++);
+  Gauge.onSent(Id, Normal, Now);
+  Gauge.onEnded(Id, How, Options, Now + Took);
+}
+
+} // namespace
+
+TEST_CASE(
+    "a replica that owes an answer for long is stalled until it answers") {
+  ReplicaGauge Gauge(makeRecord("a"), Start);
+  Gauge.onSent(SubrequestId(1), Normal, Start);
+  CHECK_FALSE(Gauge.isStalled(Options, Start + Milliseconds(15)));
+  CHECK(Gauge.isStalled(Options, Start + Milliseconds(40)));
+  Gauge.onSent(SubrequestId(2), Normal, Start + Milliseconds(20));
+  Gauge.onEnded(SubrequestId(2), AttemptResult::Served, Options,
+                Start + Milliseconds(41));
+  CHECK_FALSE(Gauge.isStalled(Options, Start + Milliseconds(45)));
+}
+
+TEST_CASE("a replica 12 times slower costs more after three answers, and less "
+          "once it is well again") {
+  ReplicaGauge Slow(makeRecord("a"), Start);
+  ReplicaGauge Well(makeRecord("b"), Start);
+  for (int I = 0; I < 3; ++I) {
+    exchange(Slow, Normal * 12, Start + Milliseconds(130 * I));
+    exchange(Well, Normal, Start + Milliseconds(130 * I));
+  }
+  TimePoint Now = Start + Milliseconds(400);
+  CHECK(Slow.cost(Options, Now) > 3 * Well.cost(Options, Now));
+  TimePoint Later = Now + std::chrono::seconds(6);
+  CHECK(Slow.cost(Options, Later) < 1.2 * Well.cost(Options, Later));
+}
+
+TEST_CASE("refusals and failures raise the cost, warm-up and distance too") {
+  ReplicaGauge Plain(makeRecord("a"), Start);
+  ReplicaGauge Refusing(makeRecord("b"), Start);
+  exchange(Refusing, Milliseconds(1), Start, AttemptResult::NotRun);
+  ReplicaGauge Failing(makeRecord("c"), Start);
+  exchange(Failing, Milliseconds(1), Start, AttemptResult::ServerFailed);
+  ReplicaRecord Cold = makeRecord("d");
+  Cold.WarmupLeft = Milliseconds(3'000);
+  ReplicaGauge Warming(Cold, Start);
+  ReplicaRecord Away = makeRecord("e");
+  Away.Centre = DataCentre("elsewhere");
+  ReplicaGauge Far(Away, Start);
+  TimePoint Now = Start + Milliseconds(10);
+  for (const ReplicaGauge *Each : {&Refusing, &Failing, &Warming, &Far})
+    CHECK(Each->cost(Options, Now) > Plain.cost(Options, Now));
+}
+
+TEST_CASE("equal replicas share the requests; a busy one gets fewer") {
+  ServiceFleet Service(Options);
+  Service.put(makeRecord("a"), Start);
+  Service.put(makeRecord("b"), Start);
+  int First = 0;
+  for (int I = 0; I < 100; ++I) {
+    ReplicaGauge *Chosen = Service.cheapest({}, Options, Start);
+    First += Chosen->record().Id == ServerName("a") ? 1 : 0;
+  }
+  CHECK(First == 50);
+  Service.find(ServerName("a"))->onSent(SubrequestId(9), Normal, Start);
+  for (int I = 0; I < 4; ++I)
+    CHECK(Service.cheapest({}, Options, Start)->record().Id == ServerName("b"));
+}
--- /dev/null
+++ b/packages/coordination/test/coordination/run/RequestRunTest.cpp
@@ -0,0 +1,260 @@
+#include "coordination/run/RequestRun.h"
+
+#include <doctest/doctest.h>
+
+using namespace carawaypond;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::hours(1)};
+
+/// @brief A route over shards with two replicas each, and its fleet.
+struct World {
+  ReplicaFleet Fleet{makePlacement()};
+  std::shared_ptr<const RoutingTable> Table;
+  std::vector<ServiceName> Shards;
+  RunOptions Options;
+
+  static PlacementOptions makePlacement() {
+    PlacementOptions Placement;
+    Placement.Budget = {.Ratio = 0.2, .Slack = 56};
+    return Placement;
+  }
+
+  explicit World(std::size_t Count, double LeastShare = 0.75,
+                 RequestKind Kind = RequestKind::Idempotent) {
+    std::vector<ReplicaRecord> Replicas;
+    for (std::size_t I = 0; I < Count; ++I) {
+      Shards.emplace_back("s" + std::to_string(I));
+      for (const char *Which : {"a", "b"}) {
+        ReplicaRecord Record;
+        Record.Id = ServerName(Shards.back().value() + Which);
+        Record.Service = Shards.back();
+        Record.Slots = 2;
+        Replicas.push_back(Record);
+      }
+    }
+    Fleet.replace(Replicas, Start - std::chrono::minutes(1));
+    RequestRoute Query;
+    Query.Name = "query";
+    Query.Host = "h";
+    Query.Prefix = "/";
+    Query.Kind = Kind;
+    Query.Timeout = Milliseconds(800);
+    Query.Objective = Milliseconds(100);
+    Query.MaxAttempts = 2;
+    if (Count > 1)
+      Query.Target = ShardSetTarget{
+          .Shards = Shards, .TopRecords = 5, .LeastShare = LeastShare};
+    else
+      Query.Target = SingleTarget{.Service = Shards.front()};
+    Table = std::make_shared<const RoutingTable>(
+        ConfigVersion(1), std::vector<RequestRoute>{Query},
+        RoutingTable::Services{}, CallerLimits{});
+  }
+
+  RequestRun makeRun(Milliseconds Patience = Milliseconds(800)) {
+    RunPlan Plan{.Table = Table,
+                 .Chosen = &Table->routes().front(),
+                 .Services = Shards,
+                 .CallerPatience = Patience};
+    return {std::move(Plan), Fleet, SubrequestId(1), Options, Start};
+  }
+};
+
+template <typename Action> std::vector<Action> pick(const RunActions &From) {
+  std::vector<Action> Picked;
+  for (const RunAction &Each : From)
+    if (const auto *Found = std::get_if<Action>(&Each))
+      Picked.push_back(*Found);
+  return Picked;
+}
+
+/// @brief Ends all of @p Sent but the first @p Kept as served.
+RunActions serveAllBut(RequestRun &Run, const std::vector<StartAttempt> &Sent,
+                       std::size_t Kept, TimePoint Now) {
+  RunActions Last;
+  for (std::size_t I = Kept; I < Sent.size(); ++I)
+    Last = Run.onEnded(Sent[I].Id, AttemptResult::Served, Now);
+  return Last;
+}
+
+} // namespace
+
+TEST_CASE("a query asks each shard once and answers when all are in") {
+  World Made(20);
+  RequestRun Run = Made.makeRun();
+  auto Sent = pick<StartAttempt>(Run.start(Start));
+  REQUIRE(Sent.size() == 20);
+  auto Answers =
+      pick<AnswerParts>(serveAllBut(Run, Sent, 0, Start + Milliseconds(10)));
+  REQUIRE(Answers.size() == 1);
+  CHECK(Answers.front().Parts.size() == 20);
+  CHECK(Answers.front().Missing == 0);
+  CHECK(Run.isDone());
+}
+
+TEST_CASE("a late part is asked for at the other replica") {
+  World Made(20);
+  RequestRun Run = Made.makeRun();
+  auto Sent = pick<StartAttempt>(Run.start(Start));
+  serveAllBut(Run, Sent, 1, Start + Milliseconds(10));
+  auto Hedges = pick<StartAttempt>(Run.onTick(Start + Milliseconds(45)));
+  REQUIRE(Hedges.size() == 1);
+  CHECK(Hedges.front().IsExtra);
+  CHECK(Hedges.front().Service == Sent.front().Service);
+  CHECK(Hedges.front().Replica != Sent.front().Replica);
+  auto Answers = pick<AnswerParts>(Run.onEnded(
+      Hedges.front().Id, AttemptResult::Served, Start + Milliseconds(55)));
+  REQUIRE(Answers.size() == 1);
+  CHECK(Answers.front().Missing == 0);
+}
+
+TEST_CASE("the answer goes out before the objective without a late shard") {
+  World Made(20);
+  RequestRun Run = Made.makeRun();
+  auto Sent = pick<StartAttempt>(Run.start(Start));
+  serveAllBut(Run, Sent, 1, Start + Milliseconds(10));
+  Run.onTick(Start + Milliseconds(45));
+  CHECK(pick<AnswerParts>(Run.onTick(Start + Milliseconds(80))).empty());
+  RunActions Last =
+      Run.onTick(Start + Milliseconds(100) - Made.Options.CallerAllowance);
+  auto Answers = pick<AnswerParts>(Last);
+  REQUIRE(Answers.size() == 1);
+  CHECK(Answers.front().Parts.size() == 19);
+  CHECK(Answers.front().Missing == 1);
+  CHECK(pick<AbandonAttempt>(Last).size() == 2);
+}
+
+TEST_CASE("an answer short of the least share waits, then fails truthfully") {
+  World Made(20, 0.89);
+  RequestRun Run = Made.makeRun();
+  auto Sent = pick<StartAttempt>(Run.start(Start));
+  serveAllBut(Run, Sent, 3, Start + Milliseconds(10));
+  CHECK_FALSE(Run.isAnswered());
+  Run.onTick(Start + Milliseconds(95));
+  CHECK_FALSE(Run.isAnswered());
+  auto Failed = pick<FailRequest>(Run.onTick(Run.deadline()));
+  REQUIRE(Failed.size() == 1);
+  CHECK(Failed.front().Why == FailureReason::TimedOut);
+}
+
+TEST_CASE("a query that can't reach the least share is refused unsent") {
+  World Made(20, 0.89);
+  std::vector<ReplicaRecord> Few;
+  for (std::size_t I = 3; I < 20; ++I) {
+    ReplicaRecord Record;
+    Record.Id = ServerName(Made.Shards[I].value() + "a");
+    Record.Service = Made.Shards[I];
+    Few.push_back(Record);
+  }
+  Made.Fleet.replace(Few, Start);
+  RequestRun Run = Made.makeRun();
+  RunActions Out = Run.start(Start);
+  CHECK(pick<StartAttempt>(Out).empty());
+  REQUIRE(pick<RefuseRequest>(Out).size() == 1);
+  CHECK(pick<RefuseRequest>(Out).front().Why == RefusalReason::NoReplica);
+}
+
+TEST_CASE("a leaving replica gets nothing") {
+  World Made(1);
+  std::vector<ReplicaRecord> Replicas;
+  for (const char *Which : {"a", "b"}) {
+    ReplicaRecord Record;
+    Record.Id = ServerName(std::string("s0") + Which);
+    Record.Service = Made.Shards.front();
+    bool IsLeaving = *Which == 'a';
+    Record.State = IsLeaving ? ReplicaState::Leaving : ReplicaState::Serving;
+    Replicas.push_back(Record);
+  }
+  Made.Fleet.replace(Replicas, Start);
+  for (int I = 0; I < 10; ++I) {
+    RequestRun Run = Made.makeRun();
+    auto Sent = pick<StartAttempt>(Run.start(Start));
+    REQUIRE(Sent.size() == 1);
+    CHECK(Sent.front().Replica == ServerName("s0b"));
+  }
+}
+
+TEST_CASE(
+    "a request that is not idempotent is never sent twice if it may run") {
+  World Made(1, 0, RequestKind::NonIdempotent);
+  RequestRun Run = Made.makeRun();
+  auto Sent = pick<StartAttempt>(Run.start(Start));
+  REQUIRE(Sent.size() == 1);
+  CHECK(pick<StartAttempt>(Run.onTick(Start + Milliseconds(300))).empty());
+
+  SUBCASE("lost: the answer promises nothing") {
+    RunActions Out = Run.onEnded(Sent.front().Id, AttemptResult::Lost,
+                                 Start + Milliseconds(310));
+    CHECK(pick<StartAttempt>(Out).empty());
+    CHECK(pick<RefuseRequest>(Out).empty());
+    CHECK(pick<FailRequest>(Out).size() == 1);
+  }
+  SUBCASE("refused by the replica: another one may run it") {
+    RunActions Out = Run.onEnded(Sent.front().Id, AttemptResult::NotRun,
+                                 Start + Milliseconds(310));
+    auto Again = pick<StartAttempt>(Out);
+    REQUIRE(Again.size() == 1);
+    CHECK(Again.front().Replica != Sent.front().Replica);
+  }
+  SUBCASE("never sent anywhere: the refusal is true") {
+    RunActions Out = Run.onEnded(Sent.front().Id, AttemptResult::NeverSent,
+                                 Start + Milliseconds(310));
+    auto Again = pick<StartAttempt>(Out);
+    REQUIRE(Again.size() == 1);
+    while (!Again.empty()) {
+      Out = Run.onEnded(Again.front().Id, AttemptResult::NotRun,
+                        Start + Milliseconds(320));
+      Again = pick<StartAttempt>(Out);
+    }
+    REQUIRE(pick<RefuseRequest>(Out).size() == 1);
+    CHECK(pick<RefuseRequest>(Out).front().Why == RefusalReason::ReplicasBusy);
+  }
+}
+
+TEST_CASE("no more replicas run a request than the route allows") {
+  World Made(1);
+  RequestRun Run = Made.makeRun();
+  auto Sent = pick<StartAttempt>(Run.start(Start));
+  std::size_t Count = 0;
+  while (!Sent.empty()) {
+    Count += Sent.size();
+    Sent = pick<StartAttempt>(Run.onEnded(Sent.front().Id, AttemptResult::Lost,
+                                          Start + Milliseconds(5)));
+  }
+  CHECK(Count == 2);
+  CHECK(Run.isAnswered());
+}
+
+TEST_CASE("a replica's own failure is relayed when nothing better comes") {
+  World Made(1);
+  RequestRun Run = Made.makeRun();
+  auto First = pick<StartAttempt>(Run.start(Start));
+  auto Second = pick<StartAttempt>(Run.onEnded(
+      First.front().Id, AttemptResult::ServerFailed, Start + Milliseconds(5)));
+  REQUIRE(Second.size() == 1);
+  auto Relayed = pick<RelayReply>(Run.onEnded(
+      Second.front().Id, AttemptResult::ServerFailed, Start + Milliseconds(9)));
+  REQUIRE(Relayed.size() == 1);
+  CHECK(Relayed.front().Attempt == Second.front().Id);
+}
+
+TEST_CASE("a caller that leaves ends all work at once") {
+  World Made(20);
+  RequestRun Run = Made.makeRun();
+  Run.start(Start);
+  auto Abandoned =
+      pick<AbandonAttempt>(Run.onCallerGone(Start + Milliseconds(5)));
+  REQUIRE(Abandoned.size() == 20);
+  CHECK(Abandoned.front().Grace == Duration(0));
+  CHECK(Run.onTick(Start + Milliseconds(50)).empty());
+}
+
+TEST_CASE("the deadline for replicas is the shorter of caller's and route's") {
+  World Made(1);
+  CHECK(Made.makeRun(Milliseconds(300)).deadline() <=
+        Start + Milliseconds(300));
+  CHECK(Made.makeRun(Milliseconds(5'000)).deadline() <=
+        Start + Milliseconds(800));
+}
--- a/packages/coordination/test/coordination/watch/WatchCursorTest.cpp
+++ b/packages/coordination/test/coordination/watch/WatchCursorTest.cpp
@@ -5,8 +5,8 @@
 using namespace carawaypond;
 
 TEST_CASE("an answer without changes does not move the cursor") {
-  // Seen on a day on which the store went deaf for a second: the watch timed out
-  // with a revision beyond a change that it had not told.
+  // Seen on a day on which the store went deaf for a second: the watch timed
+  // out with a revision beyond a change that it had not told.
   WatchCursor Cursor;
   Cursor.onListed(70);
   Cursor.onAnswer(0, 80);
--- a/packages/gateway/src/gateway/control/ConfigFollower.cpp
+++ b/packages/gateway/src/gateway/control/ConfigFollower.cpp
@@ -56,7 +56,7 @@
   onAnswered();
   for (const adapter::StoredDocument &Each : Page.value().Documents)
     if (Each.Name == adapter::ConfigName)
-      m_State.applyConfig(Each.Content, "store");
+      m_State.applyConfig(Each.Content, StoreSource);
   m_Cursor.onListed(Page.value().Revision);
   m_State.publish();
   co_return !m_Cursor.mustList();
@@ -74,7 +74,7 @@
   onAnswered();
   for (const adapter::DocumentChange &Each : Changes.value().Changes)
     if (Each.Document.Name == adapter::ConfigName && !Each.IsRemoved)
-      m_State.applyConfig(Each.Document.Content, "store");
+      m_State.applyConfig(Each.Document.Content, StoreSource);
   m_Cursor.onAnswer(Changes.value().Changes.size(), Changes.value().Revision);
   m_State.publish();
   co_return true;
--- a/packages/gateway/src/gateway/control/FleetState.cpp
+++ b/packages/gateway/src/gateway/control/FleetState.cpp
@@ -53,7 +53,10 @@
   Line.add("revision", Revision);
   Line.add("source", Source);
   m_Log.write(Line);
-  bool Changed = m_Book.replaceAll(std::move(Listed), monotonicNow());
+  bool IsFromStore = Source == StoreSource;
+  bool Changed = IsFromStore
+                     ? m_Book.replaceAll(std::move(Listed), monotonicNow())
+                     : m_Book.adoptAll(std::move(Listed));
   m_ReplicaRevision = Revision;
   m_IsDirty = m_IsDirty || Changed || !m_HasReplicas;
   m_HasReplicas = true;
@@ -72,6 +75,8 @@
 }
 
 void FleetState::removeReplica(const ServerName &Id) {
+  if (!m_Book.entries().contains(Id))
+    return;
   bool Changed = m_Book.remove(Id, monotonicNow());
   LogLine Line(Changed ? "replica_gone" : "replica_missing");
   Line.add("replica", Id.value());
@@ -82,10 +87,14 @@
 void FleetState::applyChanges(std::vector<ReplicaRecord> Put,
                               const std::vector<ServerName> &Gone,
                               std::uint64_t Revision) {
-  for (ReplicaRecord &Each : Put)
-    putReplica(std::move(Each));
-  for (const ServerName &Each : Gone)
-    removeReplica(Each);
+  LogLine Line("replicas_changed");
+  Line.add("put", static_cast<std::uint64_t>(Put.size()));
+  Line.add("gone", static_cast<std::uint64_t>(Gone.size()));
+  Line.add("revision", Revision);
+  bool Changed = m_Book.adopt(std::move(Put), Gone);
+  if (Changed)
+    m_Log.write(Line);
+  m_IsDirty = m_IsDirty || Changed;
   m_ReplicaRevision = std::max(m_ReplicaRevision, Revision);
   publish();
 }
--- a/packages/gateway/src/gateway/control/FleetState.h
+++ b/packages/gateway/src/gateway/control/FleetState.h
@@ -17,6 +17,9 @@
 
 namespace carawaypond::gateway {
 
+/// Names the store as the source of what a log line tells.
+inline constexpr std::string_view StoreSource = "store";
+
 /// @brief What this VM knows of the configuration, the replicas and the other
 /// VMs. Belongs to the control thread.
 class FleetState {
--- a/packages/gateway/src/gateway/control/ReplicaFollower.cpp
+++ b/packages/gateway/src/gateway/control/ReplicaFollower.cpp
@@ -77,7 +77,7 @@
     if (HasMore)
       After = Documents.back().Name;
   }
-  m_State.replaceReplicas(std::move(Listed), Revision, "store");
+  m_State.replaceReplicas(std::move(Listed), Revision, StoreSource);
   m_State.publish();
   m_Cursor.onListed(Revision);
   co_return true;
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
@@ -120,7 +120,7 @@
     std::visit([this](const auto &Action) { apply(Action); }, Each);
 }
 
-void ActiveRequest::apply(const SendAttempt &Action) {
+void ActiveRequest::apply(const StartAttempt &Action) {
   TimePoint Now = monotonicNow();
   ++m_Parts.Counters.Attempts;
   if (Action.IsExtra)
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.h
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.h
@@ -59,7 +59,7 @@
   [[nodiscard]] Attempt *find(SubrequestId Id);
 
   void apply(RunActions Actions);
-  void apply(const SendAttempt &Action);
+  void apply(const StartAttempt &Action);
   void apply(const AbandonAttempt &Action);
   void apply(const AnswerParts &Action);
   void apply(const RelayReply &Action);
--- a/packages/gateway/src/gateway/traffic/CallerPatience.cpp
+++ b/packages/gateway/src/gateway/traffic/CallerPatience.cpp
@@ -4,9 +4,9 @@
 
 namespace carawaypond::gateway {
 
-Milliseconds CallerPatience::waitedBefore(const std::string &Route,
+Milliseconds CallerPatience::waitedBefore(const std::string &RequestRoute,
                                           Milliseconds Patience) {
-  Milliseconds &Greatest = m_Greatest[Route];
+  Milliseconds &Greatest = m_Greatest[RequestRoute];
   Greatest = std::max(Greatest, Patience);
   return Greatest - Patience;
 }
--- a/packages/gateway/src/gateway/traffic/CallerPatience.h
+++ b/packages/gateway/src/gateway/traffic/CallerPatience.h
@@ -13,7 +13,8 @@
 public:
   /// @brief Takes one request.
   /// @return How long its caller has waited before it.
-  Milliseconds waitedBefore(const std::string &Route, Milliseconds Patience);
+  Milliseconds waitedBefore(const std::string &RequestRoute,
+                            Milliseconds Patience);
 
 private:
   std::unordered_map<std::string, Milliseconds> m_Greatest;
--- a/packages/gateway/src/gateway/traffic/CallerService.cpp
+++ b/packages/gateway/src/gateway/traffic/CallerService.cpp
@@ -121,7 +121,7 @@
     co_return refuse(Request, RefusalReason::NotReady);
   if (m_RefusesNew)
     co_return refuse(Request, RefusalReason::Leaving);
-  const Route *Chosen = Table->find(Request.Host, Request.Path);
+  const RequestRoute *Chosen = Table->find(Request.Host, Request.Path);
   if (Chosen == nullptr) {
     ++m_Counters.NotFound;
     co_return http::errorResponse(NotFound, "not_run", "no_route",
@@ -143,7 +143,7 @@
   co_return Answer;
 }
 
-RunPlan CallerService::plan(const Route &Chosen,
+RunPlan CallerService::plan(const RequestRoute &Chosen,
                             const adapter::CallerRequest &Asked) {
   RunPlan Plan;
   Plan.Table = m_View->Table;
--- a/packages/gateway/src/gateway/traffic/CallerService.h
+++ b/packages/gateway/src/gateway/traffic/CallerService.h
@@ -44,7 +44,7 @@
 
 private:
   boost::asio::awaitable<http::Response> handle(http::Request Asked);
-  [[nodiscard]] RunPlan plan(const Route &Chosen,
+  [[nodiscard]] RunPlan plan(const RequestRoute &Chosen,
                              const adapter::CallerRequest &Asked);
   http::Response refuse(const adapter::CallerRequest &Asked, RefusalReason Why);
   void applyLimits();
