--- a/packages/gateway/src/gateway/app/Gateway.cpp
+++ b/packages/gateway/src/gateway/app/Gateway.cpp
@@ -81,8 +81,11 @@
 public:
   explicit Impl(adapter::SiteSettings Given);
 
+  [[nodiscard]] Addresses addresses() const;
+
   Result<void> open();
   void run();
+  void stop();
 
 private:
   [[nodiscard]] VmRecord record() const;
@@ -194,6 +197,18 @@
   return Started;
 }
 
+Gateway::Addresses Gateway::Impl::addresses() const {
+  return {.Callers = m_Callers.address(),
+          .Ready = m_Servers.addresses().Ready,
+          .Directory = m_Servers.addresses().Directory,
+          .Peers = m_Servers.addresses().Peers,
+          .Metrics = m_Servers.addresses().Metrics};
+}
+
+void Gateway::Impl::stop() {
+  asio::post(m_ControlIo, [this] { beginStop(); });
+}
+
 void Gateway::Impl::publish(std::shared_ptr<const TrafficView> View) {
   asio::post(m_TrafficIo, [this, View = std::move(View)]() mutable {
     m_Callers.follow(std::move(View));
@@ -300,6 +315,10 @@
   return std::unique_ptr<Gateway>(new Gateway(std::move(Made)));
 }
 
+Gateway::Addresses Gateway::addresses() const { return m_Impl->addresses(); }
+
 void Gateway::run() { m_Impl->run(); }
 
+void Gateway::stop() { m_Impl->stop(); }
+
 } // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/app/Gateway.h
+++ b/packages/gateway/src/gateway/app/Gateway.h
@@ -4,6 +4,7 @@
 #include "core/outcome/Result.h"
 
 #include <memory>
+#include <string>
 
 namespace carawaypond::gateway {
 
@@ -11,6 +12,14 @@
 /// for control, one for traffic.
 class Gateway {
 public:
+  /// @brief Where it listens, with the real ports.
+  struct Addresses {
+    std::string Callers;
+    std::string Ready;
+    std::string Directory;
+    std::string Peers;
+    std::string Metrics;
+  };
   /// @brief Listens on all addresses.
   static Result<std::unique_ptr<Gateway>> open(adapter::SiteSettings Settings);
 
@@ -18,8 +27,12 @@
   Gateway &operator=(const Gateway &) = delete;
   ~Gateway();
 
-  /// @brief Serves until SIGTERM, then stops gracefully.
+  [[nodiscard]] Addresses addresses() const;
+
+  /// @brief Serves until SIGTERM or stop(), then stops gracefully.
   void run();
+  /// @brief Begins the graceful stop; may be called by any thread.
+  void stop();
 
 private:
   class Impl;
--- a/packages/gateway/src/gateway/control/ControlServers.cpp
+++ b/packages/gateway/src/gateway/control/ControlServers.cpp
@@ -7,6 +7,8 @@
 #include "gateway/peers/PeerState.h"
 #include "http/ErrorResponse.h"
 
+#include <boost/outcome/try.hpp>
+
 namespace carawaypond::gateway {
 
 using boost::asio::awaitable;
@@ -30,29 +32,32 @@
       m_Self(std::move(Self)), m_Metrics(std::move(Counted)) {}
 
 Result<void> ControlServers::start() {
-  Result<void> Opened =
+  BOOST_OUTCOME_TRY(
+      m_Addresses.Ready,
       open(m_Options.ReadyAddress,
            [this](http::Request Asked) -> awaitable<http::Response> {
              co_return ready(Asked);
-           });
-  if (Opened)
-    Opened = open(m_Options.DirectoryAddress,
-                  [this](http::Request Asked) -> awaitable<http::Response> {
-                    co_return directory(Asked);
-                  });
-  if (Opened)
-    Opened = open(m_Options.PeerAddress, [this](http::Request Asked) {
-      return peer(std::move(Asked));
-    });
-  if (Opened)
-    Opened = open(m_Options.MetricsAddress,
-                  [this](http::Request) -> awaitable<http::Response> {
-                    co_return metrics();
-                  });
-  return Opened;
+           }));
+  BOOST_OUTCOME_TRY(
+      m_Addresses.Directory,
+      open(m_Options.DirectoryAddress,
+           [this](http::Request Asked) -> awaitable<http::Response> {
+             co_return directory(Asked);
+           }));
+  BOOST_OUTCOME_TRY(m_Addresses.Peers,
+                    open(m_Options.PeerAddress, [this](http::Request Asked) {
+                      return peer(std::move(Asked));
+                    }));
+  BOOST_OUTCOME_TRY(m_Addresses.Metrics,
+                    open(m_Options.MetricsAddress,
+                         [this](http::Request) -> awaitable<http::Response> {
+                           co_return metrics();
+                         }));
+  return success();
 }
 
-Result<void> ControlServers::open(const std::string &Address, Answer Give) {
+Result<std::string> ControlServers::open(const std::string &Address,
+                                         Answer Give) {
   http::ListenerOptions Listen;
   Listen.Address = Address;
   Listen.AnnounceIdleClose = false;
@@ -60,7 +65,7 @@
   if (!Opened)
     return boost::outcome_v2::failure(Opened.error());
   m_Listeners.push_back(std::move(Opened.value()));
-  return success();
+  return m_Listeners.back()->address();
 }
 
 http::Response ControlServers::ready(const http::Request &Asked) const {
--- a/packages/gateway/src/gateway/control/ControlServers.h
+++ b/packages/gateway/src/gateway/control/ControlServers.h
@@ -39,13 +39,23 @@
   ControlServers(boost::asio::io_context &Context, ControlServerOptions Options,
                  FleetState &State, Describe Self, Metrics Counted);
 
+  /// @brief Where each part listens, with the real ports.
+  struct Addresses {
+    std::string Ready;
+    std::string Directory;
+    std::string Peers;
+    std::string Metrics;
+  };
+
+  [[nodiscard]] const Addresses &addresses() const { return m_Addresses; }
+
   Result<void> start();
 
 private:
   using Answer =
       std::function<boost::asio::awaitable<http::Response>(http::Request)>;
 
-  Result<void> open(const std::string &Address, Answer Give);
+  Result<std::string> open(const std::string &Address, Answer Give);
   [[nodiscard]] http::Response ready(const http::Request &Asked) const;
   [[nodiscard]] http::Response directory(const http::Request &Asked);
   [[nodiscard]] const std::set<DataCentre> &
@@ -63,6 +73,7 @@
   std::map<std::string, std::set<DataCentre>> m_Centres; ///< By host.
   std::uint64_t m_CentresOf = 0; ///< The state that they were found from.
   std::vector<std::unique_ptr<http::Listener>> m_Listeners;
+  Addresses m_Addresses;
 };
 
 } // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/traffic/CallerService.h
+++ b/packages/gateway/src/gateway/traffic/CallerService.h
@@ -31,6 +31,9 @@
 
   /// @brief Begins to listen.
   Result<void> start();
+  /// @return "ip:port" with the real port; start() must have succeeded.
+  [[nodiscard]] std::string address() const { return m_Listener->address(); }
+
   /// @brief Takes what control knows now.
   void follow(std::shared_ptr<const TrafficView> View);
   /// @brief Answers on connections that end, from now on.
--- /dev/null
+++ b/packages/gateway/test/gateway/FakeSite.cpp
@@ -0,0 +1,177 @@
+#include "gateway/FakeSite.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <future>
+
+namespace carawaypond::gateway {
+
+using boost::asio::awaitable;
+using nlohmann::json;
+
+namespace {
+
+constexpr auto AsTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+constexpr const char *AnyPort = "127.0.0.1:0";
+
+} // namespace
+
+FakeSite::FakeSite() : m_Work(m_Context.get_executor()) {
+  auto Opened = http::Listener::open(
+      m_Context, {.Address = AnyPort},
+      [this](http::Request Asked) { return serve(std::move(Asked)); });
+  m_Store = std::move(Opened.value());
+  m_Thread = std::thread([this] { m_Context.run(); });
+}
+
+FakeSite::~FakeSite() {
+  m_Context.stop();
+  m_Thread.join();
+}
+
+adapter::SiteSettings FakeSite::settings(const std::string &Vm) const {
+  adapter::SiteSettings Settings;
+  Settings.Vm = VmName(Vm);
+  Settings.Centre = DataCentre("umea-a");
+  Settings.Ip = "127.0.0.1";
+  Settings.CallerAddress = AnyPort;
+  Settings.ReadyAddress = AnyPort;
+  Settings.PeerAddress = AnyPort;
+  Settings.DirectoryAddress = AnyPort;
+  Settings.StoreAddress = m_Store->address();
+  Settings.MaxDescriptors = 1'000;
+  Settings.GracePeriod = Milliseconds(6'000);
+  Settings.MaxAddressLifetime = Milliseconds(5'000);
+  Settings.Budget = {.Ratio = 0.2, .Slack = 56};
+  return Settings;
+}
+
+FakeSite::Replica &FakeSite::addReplica(const std::string &Service) {
+  auto Made = std::make_unique<Replica>();
+  Replica &Added = *Made;
+  Added.Id = "i-" + std::to_string(m_Replicas.size());
+  std::promise<void> Listening;
+  boost::asio::post(m_Context, [&] {
+    auto Opened = http::Listener::open(
+        m_Context, {.Address = AnyPort},
+        [&Added](http::Request Asked) -> awaitable<http::Response> {
+          ++Added.Arrivals;
+          http::Response Answer = Added.Answer(Asked);
+          co_return Answer;
+        });
+    Added.Listener = std::move(Opened.value());
+    Listening.set_value();
+  });
+  Listening.get_future().wait();
+  Added.Address = Added.Listener->address();
+  Added.Answer = [&Added](const http::Request &Asked) {
+    http::Response Answer;
+    Answer.ContentType = "";
+    Answer.Headers = {
+        {.Name = "X-Request-Id", .Value = *Asked.header("X-Request-Id")},
+        {.Name = "X-Server-Stamp", .Value = "stamp-" + Added.Id}};
+    Answer.Body = std::string(16, 'a') + std::string(16, Added.Id.back());
+    return Answer;
+  };
+  m_Replicas.push_back(std::move(Made));
+  put("servers", Added.Id,
+      {{"Service", Service},
+       {"Address", Added.Address},
+       {"Zone", "umea-a"},
+       {"Version", "v1"},
+       {"Slots", 2},
+       {"State", "ready"},
+       {"WarmupLeftMs", 0},
+       {"Sequence", 1}});
+  return Added;
+}
+
+void FakeSite::put(const std::string &Kind, const std::string &Name,
+                   json Content) {
+  std::lock_guard Locked(m_Mutex);
+  std::uint64_t Revision = ++m_Revision;
+  json Object;
+  Object["meta"] = {{"Name", Name}, {"Rev", Revision}};
+  Object["spec"] = std::move(Content);
+  m_Objects[Kind][Name] = {.Object = std::move(Object), .Revision = Revision};
+}
+
+void FakeSite::remove(const std::string &Kind, const std::string &Name) {
+  std::lock_guard Locked(m_Mutex);
+  Stored &Removed = m_Objects[Kind][Name];
+  Removed.IsDeleted = true;
+  Removed.Revision = ++m_Revision;
+}
+
+void FakeSite::putConfig(int Version, json Routes) {
+  json Config;
+  Config["Version"] = Version;
+  Config["Routes"] = std::move(Routes);
+  Config["Services"] = json::array();
+  for (const auto &Each : m_Replicas)
+    Config["Services"].push_back({{"Name", "s" + Each->Id}, {"MaxConns", 26}});
+  put("config", "main", std::move(Config));
+}
+
+json FakeSite::list(const std::string &Kind) {
+  std::lock_guard Locked(m_Mutex);
+  json Page = {{"items", json::array()}, {"HasMore", false}};
+  for (const auto &[Name, Each] : m_Objects[Kind])
+    if (!Each.IsDeleted)
+      Page["items"].push_back(Each.Object);
+  Page["AsOf"] = m_Revision;
+  return Page;
+}
+
+json FakeSite::changes(const std::string &Kind, std::uint64_t Since) {
+  std::lock_guard Locked(m_Mutex);
+  json Told = {{"events", json::array()}, {"AsOf", m_Revision}};
+  for (const auto &[Name, Each] : m_Objects[Kind])
+    if (Each.Revision > Since)
+      Told["events"].push_back(
+          {{"Object", Each.Object}, {"Deleted", Each.IsDeleted}});
+  return Told;
+}
+
+awaitable<http::Response> FakeSite::serve(http::Request Asked) {
+  http::Response Answer;
+  if (m_IsDown) {
+    Answer.Status = 503;
+    co_return Answer;
+  }
+  std::string Rest = Asked.Path.substr(std::string("/objects/").size());
+  std::string Kind = Rest.substr(0, Rest.find('/'));
+  if (Asked.Method == "POST" || Asked.Method == "PUT") {
+    json Object = json::parse(Asked.Body);
+    put(Kind, Object["meta"]["Name"], Object["spec"]);
+    Answer.Body = Asked.Body;
+    co_return Answer;
+  }
+  if (Asked.Method == "DELETE") {
+    remove(Kind, Rest.substr(Rest.find('/') + 1));
+    Answer.Body = "{}";
+    co_return Answer;
+  }
+  auto Since = Asked.queryParameter("Watch");
+  if (!Since) {
+    Answer.Body = list(Kind).dump();
+    co_return Answer;
+  }
+  TimePoint Deadline =
+      monotonicNow() +
+      Milliseconds(std::stoi(Asked.queryParameter("WaitMs").value_or("0")));
+  json Told = changes(Kind, std::stoull(*Since));
+  boost::asio::steady_timer Pause(m_Context);
+  while (Told["events"].empty() && monotonicNow() < Deadline && !m_IsDown) {
+    Pause.expires_after(Milliseconds(5));
+    co_await Pause.async_wait(AsTuple);
+    Told = changes(Kind, std::stoull(*Since));
+  }
+  Answer.Body = Told.dump();
+  co_return Answer;
+}
+
+} // namespace carawaypond::gateway
