A replica whose address another one answers at gets nothing until it moves

Ruled out: this system's own extra attempts, at most 187 in the window for 234 allowed (logged by service), against 369 counted. Test with the decision alone.

--- a/packages/coordination/src/coordination/placement/PlacementOptions.h
+++ b/packages/coordination/src/coordination/placement/PlacementOptions.h
@@ -17,6 +17,8 @@
   double RefusalCost = 20;        ///< While a refusal is fresh.
   Milliseconds RefusalMemory{60}; ///< After the first refusal of a series.
   Milliseconds MaxRefusalMemory{1'000};
+  /// How long a replica whose address another one answers at gets nothing.
+  Milliseconds MisplacedMemory{5'000};
   Duration SlownessHalfLife = Milliseconds(700); ///< Without new samples.
   Milliseconds MinStall{10}; ///< Silence that counts as a stall, at least.
   double StallFactor = 3;    ///< Silence in multiples of the expected time.
--- a/packages/coordination/src/coordination/placement/ReplicaGauge.cpp
+++ b/packages/coordination/src/coordination/placement/ReplicaGauge.cpp
@@ -26,7 +26,11 @@
 
 ReplicaGauge::ReplicaGauge(ReplicaRecord Record, TimePoint Now)
     : m_Record(std::move(Record)), m_KnownSince(Now), m_LastAnswer(Now),
-      m_SlownessAt(Now), m_RefusedUntil(Now) {}
+      m_SlownessAt(Now), m_RefusedUntil(Now), m_MisplacedUntil(Now) {}
+
+bool ReplicaGauge::isUsable(TimePoint Now) const {
+  return m_Record.State == ReplicaState::Serving && Now >= m_MisplacedUntil;
+}
 
 bool ReplicaGauge::isStalled(const PlacementOptions &Options,
                              TimePoint Now) const {
@@ -63,7 +67,9 @@
 }
 
 void ReplicaGauge::update(ReplicaRecord Record, TimePoint Now) {
-  if (Record.StartedAt != m_Record.StartedAt) {
+  bool HasMoved = Record.Address != m_Record.Address;
+  if (HasMoved || Record.StartedAt != m_Record.StartedAt) {
+    m_MisplacedUntil = Now;
     m_Slowness = 1;
     m_FailureRate = 0;
     m_RefusalSeries = 0;
@@ -113,6 +119,8 @@
     learnFailure(1);
     return std::nullopt;
   case AttemptResult::Misplaced:
+    m_MisplacedUntil = Now + Options.MisplacedMemory;
+    return std::nullopt;
   case AttemptResult::ServerFailed:
   case AttemptResult::Lost:
     learnFailure(1);
--- a/packages/coordination/src/coordination/placement/ReplicaGauge.h
+++ b/packages/coordination/src/coordination/placement/ReplicaGauge.h
@@ -19,6 +19,8 @@
 
   [[nodiscard]] const ReplicaRecord &record() const { return m_Record; }
   [[nodiscard]] std::size_t outstanding() const { return m_Pending.size(); }
+  /// @return Whether it may get requests at all.
+  [[nodiscard]] bool isUsable(TimePoint Now) const;
   /// @return Whether it owes an answer for longer than is normal, and has
   /// answered nothing since.
   [[nodiscard]] bool isStalled(const PlacementOptions &Options,
@@ -59,6 +61,7 @@
   double m_FailureRate = 0;
   unsigned m_RefusalSeries = 0;
   TimePoint m_RefusedUntil;
+  TimePoint m_MisplacedUntil;
 };
 
 } // namespace carawaypond
--- a/packages/coordination/src/coordination/placement/ServiceFleet.cpp
+++ b/packages/coordination/src/coordination/placement/ServiceFleet.cpp
@@ -16,7 +16,7 @@
   for (auto &[Id, Gauge] : m_Replicas) {
     bool IsExcluded =
         std::find(Excluded.begin(), Excluded.end(), Id) != Excluded.end();
-    if (!IsExcluded && Gauge.record().State == ReplicaState::Serving)
+    if (!IsExcluded && Gauge.isUsable(Now))
       Usable.push_back(&Gauge);
   }
   if (Usable.empty())
--- a/packages/coordination/src/coordination/run/RequestRun.cpp
+++ b/packages/coordination/src/coordination/run/RequestRun.cpp
@@ -108,7 +108,7 @@
 RunActions RequestRun::start(TimePoint Now) {
   RunActions Out;
   for (Target &Each : m_Targets)
-    Each.IsGivenUp = !hasReplica(Each);
+    Each.IsGivenUp = !hasReplica(Each, Now);
   if (canSucceed())
     for (Target &Each : m_Targets)
       sendFirst(Each, Out, Now);
@@ -116,10 +116,10 @@
   return Out;
 }
 
-bool RequestRun::hasReplica(const Target &Of) const {
+bool RequestRun::hasReplica(const Target &Of, TimePoint Now) const {
   const auto &Replicas = m_Fleet.service(Of.Service).replicas();
-  return std::any_of(Replicas.begin(), Replicas.end(), [](const auto &Each) {
-    return Each.second.record().State == ReplicaState::Serving;
+  return std::any_of(Replicas.begin(), Replicas.end(), [Now](const auto &Each) {
+    return Each.second.isUsable(Now);
   });
 }
 
--- a/packages/coordination/src/coordination/run/RequestRun.h
+++ b/packages/coordination/src/coordination/run/RequestRun.h
@@ -78,7 +78,7 @@
   [[nodiscard]] std::size_t servedCount() const;
   [[nodiscard]] bool hasLeastShare() const;
   [[nodiscard]] bool isDecided() const;
-  [[nodiscard]] bool hasReplica(const Target &Of) const;
+  [[nodiscard]] bool hasReplica(const Target &Of, TimePoint Now) const;
   /// @return Whether enough targets may still be served.
   [[nodiscard]] bool canSucceed() const;
   [[nodiscard]] bool isLate(const Target &Of, TimePoint Now) const;
--- a/packages/coordination/test/coordination/placement/ReplicaGaugeTest.cpp
+++ b/packages/coordination/test/coordination/placement/ReplicaGaugeTest.cpp
@@ -86,3 +86,19 @@
   for (int I = 0; I < 4; ++I)
     CHECK(Service.cheapest({}, Options, Start)->record().Id == ServerName("b"));
 }
+
+TEST_CASE(
+    "a replica whose address another one has gets nothing until it moves") {
+  // Seen on a hunted day: while the store was down, addresses of crashed
+  // replicas went to another service, which counted 180 misdirected arrivals.
+  ServiceFleet Service(Options);
+  Service.put(makeRecord("a"), Start);
+  ReplicaGauge &Gauge = *Service.find(ServerName("a"));
+  exchange(Gauge, Milliseconds(1), Start, AttemptResult::Misplaced);
+  TimePoint Later = Start + Milliseconds(4'000);
+  CHECK(Service.cheapest({}, Options, Later) == nullptr);
+  ReplicaRecord Moved = makeRecord("a");
+  Moved.Address = "10.0.0.9:80";
+  Service.put(Moved, Later);
+  CHECK(Service.cheapest({}, Options, Later) != nullptr);
+}
