--- a/packages/coordination/src/coordination/placement/ServiceFleet.cpp
+++ b/packages/coordination/src/coordination/placement/ServiceFleet.cpp
@@ -21,8 +21,8 @@
   }
   if (Usable.empty())
     return nullptr;
-  std::rotate(Usable.begin(), Usable.begin() + m_Rotation++ % Usable.size(),
-              Usable.end());
+  auto First = static_cast<std::ptrdiff_t>(m_Rotation++ % Usable.size());
+  std::rotate(Usable.begin(), Usable.begin() + First, Usable.end());
   ReplicaGauge *Best = nullptr;
   double Least = 0;
   for (ReplicaGauge *Each : Usable) {
--- a/packages/gateway/src/gateway/pool/ReplicaPool.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaPool.cpp
@@ -39,13 +39,13 @@
 ReplicaPool::Ticket ReplicaPool::send(Exchange Request) {
   Ticket Id = m_NextTicket++;
   if (auto Free = acquire(Request.IsIdempotent))
-    start(std::move(Free), Id, std::move(Request));
+    start(Free, Id, std::move(Request));
   else
     m_Waiting.push_back({.Id = Id, .Request = std::move(Request)});
   return Id;
 }
 
-void ReplicaPool::start(std::shared_ptr<ReplicaConnection> On, Ticket Id,
+void ReplicaPool::start(const std::shared_ptr<ReplicaConnection> &On, Ticket Id,
                         Exchange Request) {
   for (Slot &Each : m_Open)
     if (Each.Connection == On)
@@ -78,7 +78,7 @@
       return;
     Waiting Next = std::move(m_Waiting.front());
     m_Waiting.pop_front();
-    start(std::move(Free), Next.Id, std::move(Next.Request));
+    start(Free, Next.Id, std::move(Next.Request));
   }
 }
 
--- a/packages/gateway/src/gateway/pool/ReplicaPool.h
+++ b/packages/gateway/src/gateway/pool/ReplicaPool.h
@@ -54,7 +54,7 @@
   };
 
   [[nodiscard]] std::shared_ptr<ReplicaConnection> acquire(bool IsIdempotent);
-  void start(std::shared_ptr<ReplicaConnection> On, Ticket Id,
+  void start(const std::shared_ptr<ReplicaConnection> &On, Ticket Id,
              Exchange Request);
   void onDone(Ticket Id);
   void startWaiting();
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
@@ -115,7 +115,7 @@
   return nullptr;
 }
 
-void ActiveRequest::apply(RunActions Actions) {
+void ActiveRequest::apply(const RunActions &Actions) {
   for (const RunAction &Each : Actions)
     std::visit([this](const auto &Action) { apply(Action); }, Each);
 }
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.h
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.h
@@ -58,7 +58,7 @@
 
   [[nodiscard]] Attempt *find(SubrequestId Id);
 
-  void apply(RunActions Actions);
+  void apply(const RunActions &Actions);
   void apply(const StartAttempt &Action);
   void apply(const AbandonAttempt &Action);
   void apply(const AnswerParts &Action);
--- a/packages/http/src/http/Session.cpp
+++ b/packages/http/src/http/Session.cpp
@@ -243,7 +243,7 @@
   co_return Answer;
 }
 
-void Session::watchCaller(std::shared_ptr<CallerPresence> Caller) {
+void Session::watchCaller(const std::shared_ptr<CallerPresence> &Caller) {
   m_IsWatching = true;
   m_Socket.async_wait(
       boost::asio::socket_base::wait_read,
--- a/packages/http/src/http/Session.h
+++ b/packages/http/src/http/Session.h
@@ -56,7 +56,7 @@
   boost::asio::awaitable<void> allowBody(const Parser &Headers);
   boost::asio::awaitable<bool> reject(boost::system::error_code Cause);
   boost::asio::awaitable<Response> callHandler(Request Asked);
-  void watchCaller(std::shared_ptr<CallerPresence> Caller);
+  void watchCaller(const std::shared_ptr<CallerPresence> &Caller);
   void endWatch();
   boost::asio::awaitable<bool> write(Response Answer, bool KeepAlive,
                                      bool IsHead);
