The stop's time is set before the parts that ask for this VM's record

Cause: record() ran in the constructor before the member that it reads was made (valgrind over gateway_test: conditional jump on uninitialised value, 13 times from this one place; the compiler's warning for it is off because of a false one). A VM could have written itself into the store as leaving.

--- a/packages/gateway/src/gateway/app/Gateway.cpp
+++ b/packages/gateway/src/gateway/app/Gateway.cpp
@@ -102,6 +102,8 @@
 
   adapter::SiteSettings m_Settings;
   Incarnation m_Life = newIncarnation();
+  /// Before the parts below, which ask for this VM's record as they are made.
+  std::optional<TimePoint> m_StopBegunAt;
   EventLog m_Log{EventLogOptions{}};
   TrafficCounters m_Counters;
   FollowOptions m_Follow;
@@ -125,7 +127,6 @@
   ControlServers m_Servers;
   VmDrain m_Drain{
       {.SpreadTime = SpreadTime, .AddressLifetime = AddressLifetime}};
-  std::optional<TimePoint> m_StopBegunAt;
   std::atomic<std::size_t> m_Busy = 1; ///< Connections at the last look.
 };
 
