--- a/packages/coordination/src/coordination/model/JsonReader.cpp
+++ b/packages/coordination/src/coordination/model/JsonReader.cpp
@@ -18,7 +18,9 @@
       Value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   if (Text.size() <= MaxShownValue)
     return Text;
-  return Text.substr(0, MaxShownValue) + "...";
+  Text.resize(MaxShownValue);
+  Text += "...";
+  return Text;
 }
 
 std::string whyNoObject(const nlohmann::json &Value) {
