Latency histograms by route and service; request lines tell why and at what cost

Cause: the metrics had counters only, an answer that came late gave no log line, and a line did not say why an attempt was made or what its replica cost at the time. Now: histograms of answers by route and attempts by service; a line for each late answer, each caller that left and one request of 128 whole; replicas that are judged slow, failing, refusing or well again. One LatencyHistogram in core instead of the daemon's own; the decaying one is called DecayingHistogram.

--- a/packages/coordination/src/coordination/latency/LatencyHistogram.cpp
+++ b/packages/coordination/src/coordination/latency/DecayingHistogram.cpp
@@ -1,4 +1,4 @@
-#include "coordination/latency/LatencyHistogram.h"
+#include "coordination/latency/DecayingHistogram.h"
 
 #include <algorithm>
 #include <cmath>
@@ -18,7 +18,7 @@
   double Exact =
       std::ceil(std::log2(Micros / FirstBucketMicros) * BucketsPerOctave);
   return std::min(static_cast<std::size_t>(Exact),
-                  LatencyHistogram::BucketCount - 1);
+                  DecayingHistogram::BucketCount - 1);
 }
 
 Duration upperEnd(std::size_t Bucket) {
@@ -30,7 +30,7 @@
 
 } // namespace
 
-double LatencyHistogram::decayAt(TimePoint Now) const {
+double DecayingHistogram::decayAt(TimePoint Now) const {
   if (Now <= m_ScaledAt)
     return 1;
   double HalfLives = std::chrono::duration<double>(Now - m_ScaledAt) /
@@ -38,12 +38,12 @@
   return std::exp2(-HalfLives);
 }
 
-double LatencyHistogram::weight(TimePoint Now) const {
+double DecayingHistogram::weight(TimePoint Now) const {
   return m_Total * decayAt(Now);
 }
 
-std::optional<Duration> LatencyHistogram::quantile(double Quantile,
-                                                   TimePoint Now) const {
+std::optional<Duration> DecayingHistogram::quantile(double Quantile,
+                                                    TimePoint Now) const {
   if (weight(Now) < MinWeight)
     return std::nullopt;
   double Wanted = m_Total * Quantile;
@@ -56,14 +56,14 @@
   return upperEnd(BucketCount - 1);
 }
 
-void LatencyHistogram::record(Duration Latency, TimePoint Now) {
+void DecayingHistogram::record(Duration Latency, TimePoint Now) {
   if (Now - m_ScaledAt >= m_HalfLife)
     rescale(Now);
   m_Buckets[bucketOf(Latency)] += 1;
   m_Total += 1;
 }
 
-void LatencyHistogram::rescale(TimePoint Now) {
+void DecayingHistogram::rescale(TimePoint Now) {
   auto Factor = static_cast<float>(decayAt(Now));
   m_Total = 0;
   for (float &Bucket : m_Buckets) {
--- a/packages/coordination/src/coordination/latency/LatencyHistogram.h
+++ b/packages/coordination/src/coordination/latency/DecayingHistogram.h
@@ -11,12 +11,12 @@
 /// @brief A decaying histogram of latencies with fixed logarithmic buckets.
 /// Recording costs a few instructions; samples lose half their weight in each
 /// half-life.
-class LatencyHistogram {
+class DecayingHistogram {
 public:
   /// Four buckets an octave, from 100 microseconds to 29 seconds.
   static constexpr std::size_t BucketCount = 73;
 
-  explicit LatencyHistogram(Duration HalfLife = std::chrono::seconds(10))
+  explicit DecayingHistogram(Duration HalfLife = std::chrono::seconds(10))
       : m_HalfLife(HalfLife) {}
 
   /// @return The latency that the part @p Quantile of recent samples stays
--- a/packages/coordination/src/coordination/latency/LatencyTracker.h
+++ b/packages/coordination/src/coordination/latency/LatencyTracker.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/latency/LatencyHistogram.h"
+#include "coordination/latency/DecayingHistogram.h"
 #include "core/id/Ids.h"
 
 #include <optional>
@@ -19,7 +19,7 @@
   void record(const ClassName &Class, Duration Latency, TimePoint Now);
 
 private:
-  std::unordered_map<ClassName, LatencyHistogram> m_Classes;
+  std::unordered_map<ClassName, DecayingHistogram> m_Classes;
 };
 
 } // namespace carawaypond
--- a/packages/coordination/src/coordination/latency/fwd.h
+++ b/packages/coordination/src/coordination/latency/fwd.h
@@ -2,7 +2,7 @@
 
 namespace carawaypond {
 
-class LatencyHistogram;
+class DecayingHistogram;
 class LatencyTracker;
 class ReplicaScores;
 
--- a/packages/coordination/src/coordination/placement/ReplicaGauge.cpp
+++ b/packages/coordination/src/coordination/placement/ReplicaGauge.cpp
@@ -14,6 +14,9 @@
 /// Slowness below which a sample tells what is normal for a route.
 constexpr double NormalSlowness = 3;
 constexpr unsigned MaxRefusalDoublings = 5;
+constexpr double SlowVerdict = 4;       ///< Least slowness that is called slow.
+constexpr double FailingVerdict = 0.3;  ///< Least share of failures.
+constexpr unsigned RefusingVerdict = 3; ///< Least series of refusals.
 
 double ratio(Duration Part, Duration Whole) {
   double Divisor = std::chrono::duration<double>(
@@ -66,6 +69,17 @@
   return Cost;
 }
 
+ReplicaVerdict ReplicaGauge::verdict(const PlacementOptions &Options,
+                                     TimePoint Now) const {
+  if (m_FailureRate >= FailingVerdict)
+    return ReplicaVerdict::Failing;
+  if (m_RefusalSeries >= RefusingVerdict && Now < m_RefusedUntil)
+    return ReplicaVerdict::Refusing;
+  if (slowness(Options, Now) >= SlowVerdict)
+    return ReplicaVerdict::Slow;
+  return ReplicaVerdict::Well;
+}
+
 void ReplicaGauge::update(ReplicaRecord Record, TimePoint Now) {
   bool HasMoved = Record.Address != m_Record.Address;
   if (HasMoved || Record.StartedAt != m_Record.StartedAt) {
--- a/packages/coordination/src/coordination/placement/ReplicaGauge.h
+++ b/packages/coordination/src/coordination/placement/ReplicaGauge.h
@@ -2,6 +2,7 @@
 
 #include "coordination/placement/AttemptResult.h"
 #include "coordination/placement/PlacementOptions.h"
+#include "coordination/placement/ReplicaVerdict.h"
 #include "coordination/replicas/ReplicaRecord.h"
 #include "core/id/Ids.h"
 #include "core/time/Time.h"
@@ -28,6 +29,10 @@
   /// @return How many times slower than normal its answers are.
   [[nodiscard]] double slowness(const PlacementOptions &Options,
                                 TimePoint Now) const;
+  /// @return The share of requests that fail, by recent ones.
+  [[nodiscard]] double failureRate() const { return m_FailureRate; }
+  [[nodiscard]] ReplicaVerdict verdict(const PlacementOptions &Options,
+                                       TimePoint Now) const;
   /// @return The cost of sending there; smaller is better.
   [[nodiscard]] double cost(const PlacementOptions &Options,
                             TimePoint Now) const;
--- a/packages/coordination/src/coordination/placement/fwd.h
+++ b/packages/coordination/src/coordination/placement/fwd.h
@@ -3,6 +3,7 @@
 namespace carawaypond {
 
 enum class AttemptResult;
+enum class ReplicaVerdict;
 struct PlacementOptions;
 class ReplicaFleet;
 class ReplicaGauge;
--- a/packages/coordination/src/coordination/run/RequestRun.cpp
+++ b/packages/coordination/src/coordination/run/RequestRun.cpp
@@ -140,22 +140,24 @@
   if (Replica == nullptr)
     return;
   Service.budget().countRequest(Now);
-  send(To, *Replica, false, Out, Now);
+  send(To, *Replica, AttemptReason::First, Out, Now);
 }
 
-void RequestRun::send(Target &To, ReplicaGauge &Replica, bool IsExtra,
+void RequestRun::send(Target &To, ReplicaGauge &Replica, AttemptReason Why,
                       RunActions &Out, TimePoint Now) {
   SubrequestId Id(m_NextId++);
+  double Cost = Replica.cost(m_Fleet.options(), Now);
   Replica.onSent(Id, m_Latency.median(), Now);
   To.Attempts.push_back(
       {.Id = Id, .Replica = Replica.record().Id, .SentAt = Now, .Ended = {}});
   Out.push_back(StartAttempt{.Id = Id,
                              .Service = To.Service,
                              .Replica = Replica.record().Id,
-                             .IsExtra = IsExtra});
+                             .Why = Why,
+                             .Cost = Cost});
 }
 
-bool RequestRun::sendExtra(Target &To, double Reserve, RunActions &Out,
+bool RequestRun::sendExtra(Target &To, AttemptReason Why, RunActions &Out,
                            TimePoint Now) {
   if (!maySendAgain(To) || Now >= m_Deadline)
     return false;
@@ -166,9 +168,12 @@
     Replica = Service.cheapest({}, m_Fleet.options(), Now);
   if (Replica == nullptr)
     return false;
-  if (!Service.budget().trySpend(m_Fleet.share(), Reserve, Now))
+  double Reserve = Why == AttemptReason::Retry ? 0 : m_Options.HedgeReserve;
+  if (!Service.budget().trySpend(m_Fleet.share(), Reserve, Now)) {
+    m_WasDenied = true;
     return false;
-  send(To, *Replica, true, Out, Now);
+  }
+  send(To, *Replica, Why, Out, Now);
   return true;
 }
 
@@ -191,7 +196,7 @@
       Each.Failed = Id;
     if (m_IsAnswered || Each.Served || outstanding(Each) > 0)
       continue;
-    if (!sendExtra(Each, 0, Out, Now))
+    if (!sendExtra(Each, AttemptReason::Retry, Out, Now))
       Each.IsGivenUp = true;
   }
   decide(Out, Now);
@@ -214,8 +219,10 @@
     ReplicaGauge *Gauge = m_Fleet.service(Each.Service).find(Newest.Replica);
     bool IsStalled =
         Gauge == nullptr || Gauge->isStalled(m_Fleet.options(), Now);
-    if (IsStalled || isLate(Each, Now))
-      sendExtra(Each, m_Options.HedgeReserve, Out, Now);
+    if (IsStalled)
+      sendExtra(Each, AttemptReason::Stalled, Out, Now);
+    else if (isLate(Each, Now))
+      sendExtra(Each, AttemptReason::Late, Out, Now);
   }
 }
 
--- a/packages/coordination/src/coordination/run/RequestRun.h
+++ b/packages/coordination/src/coordination/run/RequestRun.h
@@ -46,6 +46,12 @@
   [[nodiscard]] TimePoint deadline() const { return m_Deadline; }
   /// @return The greatest number of attempts that this run can make.
   [[nodiscard]] std::size_t maxAttempts() const;
+  /// @return Whether the budget did not allow a hedge or retry.
+  [[nodiscard]] bool wasDenied() const { return m_WasDenied; }
+  /// @return Whether an answer at @p Now still meets the objective.
+  [[nodiscard]] bool meetsObjective(TimePoint Now) const {
+    return Now <= m_ObjectiveAt;
+  }
   [[nodiscard]] const RequestRoute &route() const { return *m_Plan.Chosen; }
   [[nodiscard]] const RunPlan &plan() const { return m_Plan; }
 
@@ -84,9 +90,9 @@
   [[nodiscard]] bool isLate(const Target &Of, TimePoint Now) const;
 
   void sendFirst(Target &To, RunActions &Out, TimePoint Now);
-  void send(Target &To, ReplicaGauge &Replica, bool IsExtra, RunActions &Out,
-            TimePoint Now);
-  bool sendExtra(Target &To, double Reserve, RunActions &Out, TimePoint Now);
+  void send(Target &To, ReplicaGauge &Replica, AttemptReason Why,
+            RunActions &Out, TimePoint Now);
+  bool sendExtra(Target &To, AttemptReason Why, RunActions &Out, TimePoint Now);
   void hedge(RunActions &Out, TimePoint Now);
   void decide(RunActions &Out, TimePoint Now);
   void answerParts(RunActions &Out);
@@ -102,6 +108,7 @@
   TimePoint m_Deadline;
   std::uint64_t m_NextId;
   std::vector<Target> m_Targets;
+  bool m_WasDenied = false;
   bool m_IsAnswered = false;
 };
 
--- a/packages/coordination/src/coordination/run/RunActions.h
+++ b/packages/coordination/src/coordination/run/RunActions.h
@@ -9,12 +9,24 @@
 
 namespace carawaypond {
 
+/// @brief Why an attempt is made.
+enum class AttemptReason {
+  First,   ///< The first one at its service.
+  Stalled, ///< The replica of the one before has stopped answering.
+  Late,    ///< The one before takes longer than is normal.
+  Retry,   ///< The one before ended without an answer.
+};
+
 /// @brief Send the request to one replica.
 struct StartAttempt {
   SubrequestId Id;
   ServiceName Service;
   ServerName Replica;
-  bool IsExtra = false; ///< A hedge or a retry.
+  AttemptReason Why = AttemptReason::First;
+  double Cost = 0; ///< Of the replica as it was chosen; see PlacementOptions.
+
+  /// @return Whether it draws on the budget for hedges and retries.
+  [[nodiscard]] bool isExtra() const { return Why != AttemptReason::First; }
 };
 
 /// @brief Close the attempt's connection unless it has ended by then.
--- a/packages/coordination/src/coordination/run/fwd.h
+++ b/packages/coordination/src/coordination/run/fwd.h
@@ -2,6 +2,7 @@
 
 namespace carawaypond {
 
+enum class AttemptReason;
 enum class FailureReason;
 enum class RefusalReason;
 struct AnswerParts;
--- a/packages/coordination/test/coordination/latency/LatencyTest.cpp
+++ b/packages/coordination/test/coordination/latency/LatencyTest.cpp
@@ -1,4 +1,4 @@
-#include "coordination/latency/LatencyHistogram.h"
+#include "coordination/latency/DecayingHistogram.h"
 #include "coordination/latency/ReplicaScores.h"
 
 #include <doctest/doctest.h>
@@ -20,7 +20,7 @@
   CHECK(rc::check([] {
     auto Micros = *rc::gen::nonEmpty(
         rc::gen::container<std::vector<int>>(rc::gen::inRange(100, 1'000'000)));
-    LatencyHistogram Histogram;
+    DecayingHistogram Histogram;
     for (int Each : Micros)
       Histogram.record(Microseconds(Each), Start);
     std::sort(Micros.begin(), Micros.end());
@@ -36,7 +36,7 @@
 }
 
 TEST_CASE("old samples lose to new ones, and are forgotten in the end") {
-  LatencyHistogram Histogram(std::chrono::seconds(1));
+  DecayingHistogram Histogram(std::chrono::seconds(1));
   for (int I = 0; I < 100; ++I)
     Histogram.record(Milliseconds(500), Start);
   TimePoint Later = Start + std::chrono::seconds(8);
--- a/packages/coordination/test/coordination/run/RequestRunTest.cpp
+++ b/packages/coordination/test/coordination/run/RequestRunTest.cpp
@@ -101,7 +101,7 @@
   serveAllBut(Run, Sent, 1, Start + Milliseconds(10));
   auto Hedges = pick<StartAttempt>(Run.onTick(Start + Milliseconds(45)));
   REQUIRE(Hedges.size() == 1);
-  CHECK(Hedges.front().IsExtra);
+  CHECK(Hedges.front().isExtra());
   CHECK(Hedges.front().Service == Sent.front().Service);
   CHECK(Hedges.front().Replica != Sent.front().Replica);
   auto Answers = pick<AnswerParts>(Run.onEnded(
--- a/packages/core/src/core/core.h
+++ b/packages/core/src/core/core.h
@@ -6,6 +6,8 @@
 #include "core/id/Ids.h"
 #include "core/id/StrongId.h"
 #include "core/invariant/Invariant.h"
+#include "core/metrics/LatencyHistogram.h"
+#include "core/metrics/PrometheusText.h"
 #include "core/outcome/Error.h"
 #include "core/outcome/Result.h"
 #include "core/time/Time.h"
--- a/packages/daemon/src/daemon/metrics/LatencyHistogram.cpp
+++ b/packages/core/src/core/metrics/LatencyHistogram.cpp
@@ -1,8 +1,8 @@
-#include "daemon/metrics/LatencyHistogram.h"
+#include "core/metrics/LatencyHistogram.h"
 
 #include <algorithm>
 
-namespace carawaypond::daemon {
+namespace carawaypond {
 
 namespace accumulators = boost::accumulators;
 
@@ -51,4 +51,4 @@
     ++m_Buckets[Bucket - LatencyBucketsMillis.begin()];
 }
 
-} // namespace carawaypond::daemon
+} // namespace carawaypond
--- a/packages/daemon/src/daemon/metrics/LatencyHistogram.h
+++ b/packages/core/src/core/metrics/LatencyHistogram.h
@@ -12,7 +12,7 @@
 #include <array>
 #include <cstdint>
 
-namespace carawaypond::daemon {
+namespace carawaypond {
 
 /// @brief Upper bounds of the histogram's buckets, in milliseconds; the last
 /// bucket has none.
@@ -47,4 +47,4 @@
   std::array<std::uint64_t, LatencyBucketsMillis.size()> m_Buckets{};
 };
 
-} // namespace carawaypond::daemon
+} // namespace carawaypond
--- /dev/null
+++ b/packages/core/src/core/metrics/PrometheusText.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace carawaypond {
+
+class LatencyHistogram;
+
+/// @return `name="value"`, with the value's special characters escaped.
+[[nodiscard]] std::string prometheusLabel(std::string_view Name,
+                                          std::string_view Value);
+
+/// @brief Appends a histogram in the Prometheus text format.
+/// @param Name Of the metric, whole.
+/// @param Labels As prometheusLabel() gives them, separated by commas.
+void appendHistogram(std::string &To, std::string_view Name,
+                     std::string_view Labels,
+                     const LatencyHistogram &Histogram);
+
+} // namespace carawaypond
--- a/packages/daemon/src/daemon/metrics/Metrics.cpp
+++ b/packages/daemon/src/daemon/metrics/Metrics.cpp
@@ -1,8 +1,8 @@
 #include "daemon/metrics/Metrics.h"
 
-#include <nlohmann/json.hpp>
+#include "core/metrics/PrometheusText.h"
 
-#include <sstream>
+#include <nlohmann/json.hpp>
 
 namespace carawaypond::daemon {
 
@@ -10,18 +10,6 @@
 
 constexpr const char *Prefix = "carawaypond_";
 
-void writeHistogram(std::ostream &Out, const std::string &Labels,
-                    const LatencyHistogram &Histogram) {
-  const std::string Name = std::string(Prefix) + "query_milliseconds";
-  for (std::size_t I = 0; I < LatencyBucketsMillis.size(); ++I)
-    Out << Name << "_bucket{" << Labels << ",le=\"" << LatencyBucketsMillis[I]
-        << "\"} " << Histogram.cumulative(I) << '\n';
-  Out << Name << "_bucket{" << Labels << ",le=\"+Inf\"} " << Histogram.count()
-      << '\n';
-  Out << Name << "_sum{" << Labels << "} " << Histogram.sum() << '\n';
-  Out << Name << "_count{" << Labels << "} " << Histogram.count() << '\n';
-}
-
 nlohmann::json toJson(const CoverageTotals &Totals) {
   return {{"complete", Totals.Complete},
           {"partial", Totals.Partial},
@@ -35,16 +23,17 @@
 
 std::string Metrics::prometheusText() const {
   std::scoped_lock Lock(m_Mutex);
-  std::ostringstream Out;
+  std::string Text;
   for (const auto &[Name, Value] : m_Counters)
-    Out << Prefix << Name << ' ' << Value << '\n';
-  Out << "# TYPE " << Prefix << "query_milliseconds histogram\n";
+    Text += Prefix + Name + ' ' + std::to_string(Value) + '\n';
+  const std::string Latency = std::string(Prefix) + "query_milliseconds";
+  Text += "# TYPE " + Latency + " histogram\n";
   for (const auto &[Key, Histogram] : m_Latencies)
-    writeHistogram(Out,
-                   "service=\"" + Key.first.value() + "\",class=\"" +
-                       Key.second.value() + "\"",
-                   Histogram);
-  return Out.str();
+    appendHistogram(Text, Latency,
+                    prometheusLabel("service", Key.first.value()) + "," +
+                        prometheusLabel("class", Key.second.value()),
+                    Histogram);
+  return Text;
 }
 
 nlohmann::json Metrics::histograms() const {
--- a/packages/daemon/src/daemon/metrics/Metrics.h
+++ b/packages/daemon/src/daemon/metrics/Metrics.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/id/Ids.h"
-#include "daemon/metrics/LatencyHistogram.h"
+#include "core/metrics/LatencyHistogram.h"
 
 #include <nlohmann/json_fwd.hpp>
 
--- a/packages/daemon/src/daemon/metrics/fwd.h
+++ b/packages/daemon/src/daemon/metrics/fwd.h
@@ -3,7 +3,6 @@
 namespace carawaypond::daemon {
 
 class Counters;
-class LatencyHistogram;
 class Metrics;
 
 } // namespace carawaypond::daemon
--- a/packages/daemon/test/daemon/metrics/MetricsTest.cpp
+++ b/packages/daemon/test/daemon/metrics/MetricsTest.cpp
@@ -18,12 +18,3 @@
                   "class=\"interactive\",le=\"10\"} 1\n") != std::string::npos);
   CHECK(Text.find("le=\"5\"} 0\n") != std::string::npos);
 }
-
-TEST_CASE("quantiles come near the values that were added") {
-  LatencyHistogram Histogram;
-  for (int I = 1; I <= 1000; ++I)
-    Histogram.add(Milliseconds(I));
-  CHECK(Histogram.quantile(0.5) == doctest::Approx(500).epsilon(0.05));
-  CHECK(Histogram.quantile(0.99) == doctest::Approx(990).epsilon(0.05));
-  CHECK(Histogram.max() == 1000);
-}
--- a/packages/gateway/src/gateway/app/Gateway.cpp
+++ b/packages/gateway/src/gateway/app/Gateway.cpp
@@ -106,6 +106,7 @@
   std::optional<TimePoint> m_StopBegunAt;
   EventLog m_Log{EventLogOptions{}};
   TrafficCounters m_Counters;
+  LatencyBook m_Latencies;
   FollowOptions m_Follow;
   asio::io_context m_ControlIo{1};
   asio::io_context m_TrafficIo{1};
@@ -132,7 +133,8 @@
 
 Gateway::Impl::Impl(adapter::SiteSettings Given)
     : m_Settings(std::move(Given)),
-      m_Callers(m_TrafficIo, trafficOptions(m_Settings), m_Counters, m_Log),
+      m_Callers(m_TrafficIo, trafficOptions(m_Settings), m_Counters,
+                m_Latencies, m_Log),
       m_State(
           m_Settings.Vm, m_Log, [this] { return load(); },
           [this](std::shared_ptr<const TrafficView> View) {
@@ -157,7 +159,8 @@
           m_ControlIo, serverOptions(m_Settings, m_Life), m_State,
           [this] { return describe(); },
           [this] {
-            return metricsText(m_Counters, m_State, m_Store.counts(), m_Log);
+            return metricsText(m_Counters, m_Latencies, m_State,
+                               m_Store.counts(), m_Log);
           }) {}
 
 VmLoad Gateway::Impl::load() const {
--- a/packages/gateway/src/gateway/app/MetricsText.cpp
+++ b/packages/gateway/src/gateway/app/MetricsText.cpp
@@ -12,7 +12,7 @@
 } // namespace
 
 std::string metricsText(const TrafficCounters &Counters,
-                        const FleetState &State,
+                        const LatencyBook &Latencies, const FleetState &State,
                         const adapter::StoreCallCounts &Calls,
                         const EventLog &Log) {
   std::string Text;
@@ -39,6 +39,7 @@
   addLine(Text, "store_writes_total", Calls.Writes);
   addLine(Text, "store_calls_failed_total", Calls.Failed);
   addLine(Text, "log_lines_left_out_total", Log.dropped());
+  Text += Latencies.prometheusText();
   return Text;
 }
 
--- a/packages/gateway/src/gateway/app/MetricsText.h
+++ b/packages/gateway/src/gateway/app/MetricsText.h
@@ -3,14 +3,16 @@
 #include "adapter/StoreClient.h"
 #include "gateway/control/FleetState.h"
 #include "gateway/log/EventLog.h"
+#include "gateway/metrics/LatencyBook.h"
 #include "gateway/traffic/TrafficCounters.h"
 
 #include <string>
 
 namespace carawaypond::gateway {
 
-/// @return The counters in the Prometheus text format.
+/// @return Counters and histograms in the Prometheus text format.
 [[nodiscard]] std::string metricsText(const TrafficCounters &Counters,
+                                      const LatencyBook &Latencies,
                                       const FleetState &State,
                                       const adapter::StoreCallCounts &Calls,
                                       const EventLog &Log);
--- /dev/null
+++ b/packages/gateway/src/gateway/metrics/fwd.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace carawaypond::gateway {
+
+class LatencyBook;
+
+} // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
@@ -3,6 +3,7 @@
 #include "adapter/ReplyCodec.h"
 #include "adapter/RequestCodec.h"
 #include "coordination/records/GreatestRecords.h"
+#include "gateway/traffic/RequestLog.h"
 #include "http/ErrorResponse.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -34,56 +35,6 @@
                                    : AttemptResult::ServerFailed;
 }
 
-std::string_view nameOf(AttemptResult How) {
-  switch (How) {
-  case AttemptResult::Served:
-    return "served";
-  case AttemptResult::ServerFailed:
-    return "server_failed";
-  case AttemptResult::NotRun:
-    return "refused";
-  case AttemptResult::Misplaced:
-    return "misplaced";
-  case AttemptResult::NeverSent:
-    return "never_sent";
-  case AttemptResult::Lost:
-    return "lost";
-  case AttemptResult::Abandoned:
-    return "abandoned";
-  }
-  return "unknown";
-}
-
-std::string_view nameOf(RefusalReason Why) {
-  switch (Why) {
-  case RefusalReason::NoReplica:
-    return "no_replica";
-  case RefusalReason::ReplicasBusy:
-    return "replicas_busy";
-  case RefusalReason::Leaving:
-    return "leaving";
-  case RefusalReason::NotReady:
-    return "not_ready";
-  }
-  return "unknown";
-}
-
-std::string_view nameOf(FailureReason Why) {
-  switch (Why) {
-  case FailureReason::ReplicaLost:
-    return "replica_lost";
-  case FailureReason::TimedOut:
-    return "timed_out";
-  case FailureReason::TooFewShards:
-    return "too_few_shards";
-  }
-  return "unknown";
-}
-
-std::int64_t millis(Duration Time) {
-  return std::chrono::duration_cast<Milliseconds>(Time).count();
-}
-
 } // namespace
 
 ActiveRequest::ActiveRequest(TrafficParts Parts, adapter::CallerRequest Asked,
@@ -108,9 +59,9 @@
   co_return std::move(*m_Answer);
 }
 
-ActiveRequest::Attempt *ActiveRequest::find(SubrequestId Id) {
-  for (Attempt &Each : m_Attempts)
-    if (Each.Id == Id)
+AttemptState *ActiveRequest::find(SubrequestId Id) {
+  for (AttemptState &Each : m_Attempts)
+    if (Each.Started.Id == Id)
       return &Each;
   return nullptr;
 }
@@ -123,12 +74,13 @@
 void ActiveRequest::apply(const StartAttempt &Action) {
   TimePoint Now = monotonicNow();
   ++m_Parts.Counters.Attempts;
-  if (Action.IsExtra)
+  if (Action.isExtra())
     ++m_Parts.Counters.ExtraAttempts;
-  m_Attempts.push_back({.Id = Action.Id,
-                        .Replica = Action.Replica,
+  m_Attempts.push_back({.Started = Action,
                         .Pool = m_Parts.Links.find(Action.Replica),
                         .SentAt = Now,
+                        .EndedAt = {},
+                        .Ended = {},
                         .Reply = {},
                         .Note = {}});
   auto Left = std::chrono::ceil<Milliseconds>(m_Run.deadline() - Now);
@@ -147,12 +99,12 @@
   std::uint64_t Before = Pool->opened();
   ReplicaPool::Ticket Ticket = Pool->send(std::move(Request));
   m_Parts.Counters.Connections += Pool->opened() - Before;
-  if (Attempt *Sent = find(Action.Id))
+  if (AttemptState *Sent = find(Action.Id))
     Sent->Ticket = Ticket;
 }
 
 void ActiveRequest::apply(const AbandonAttempt &Action) {
-  Attempt *Given = find(Action.Id);
+  AttemptState *Given = find(Action.Id);
   if (Given != nullptr)
     Given->AbandonAt = monotonicNow() + Action.Grace;
 }
@@ -161,7 +113,7 @@
   GreatestRecords Records(Action.TopRecords);
   std::vector<std::string_view> Signatures;
   for (SubrequestId Part : Action.Parts) {
-    const Attempt *Made = find(Part);
+    const AttemptState *Made = find(Part);
     Records.add(Made->Reply->Body);
     Signatures.push_back(Made->Reply->Signature);
   }
@@ -169,6 +121,8 @@
                          : m_Parts.Counters.Partial);
   if (Action.Missing > 0)
     explain("partial", "shards_late");
+  else
+    noteSuccess();
   answer(adapter::encodeGathered(Signatures, Action.Missing, Records.take()));
 }
 
@@ -176,7 +130,9 @@
   adapter::ReplicaReply Reply = std::move(*find(Action.Attempt)->Reply);
   bool IsSuccess = Reply.Status < FirstError;
   ++(IsSuccess ? m_Parts.Counters.Complete : m_Parts.Counters.ReplicaFailures);
-  if (!IsSuccess)
+  if (IsSuccess)
+    noteSuccess();
+  else
     explain("replica_failure", std::to_string(Reply.Status));
   answer(adapter::encodeRelayed(std::move(Reply)));
 }
@@ -197,7 +153,7 @@
 }
 
 void ActiveRequest::onExchange(SubrequestId Id, ExchangeResult How) {
-  Attempt *Made = find(Id);
+  AttemptState *Made = find(Id);
   if (auto *Failure = std::get_if<ExchangeFailure>(&How)) {
     Made->Note = Failure->Why;
     return end(Id, Failure->WasSent ? AttemptResult::Lost
@@ -208,26 +164,29 @@
 }
 
 void ActiveRequest::end(SubrequestId Id, AttemptResult How) {
-  Attempt *Made = find(Id);
-  Made->HasEnded = true;
-  Made->Note = std::string(nameOf(How)) + " " + Made->Note;
+  AttemptState *Made = find(Id);
+  TimePoint Now = monotonicNow();
+  Made->Ended = How;
+  Made->EndedAt = Now;
+  if (How == AttemptResult::Served)
+    m_Parts.Latencies.addAttempt(Made->Started.Service, Now - Made->SentAt);
   if (How == AttemptResult::NotRun)
     ++m_Parts.Counters.AttemptsRefused;
   if (How == AttemptResult::Lost)
     ++m_Parts.Counters.AttemptsLost;
   if (How == AttemptResult::Abandoned)
     ++m_Parts.Counters.AttemptsAbandoned;
-  apply(m_Run.onEnded(Id, How, monotonicNow()));
+  apply(m_Run.onEnded(Id, How, Now));
 }
 
 void ActiveRequest::abandonOverdue(TimePoint Now) {
   for (std::size_t I = 0; I < m_Attempts.size(); ++I) {
-    Attempt &Each = m_Attempts[I];
-    if (Each.HasEnded || Now < Each.AbandonAt)
+    AttemptState &Each = m_Attempts[I];
+    if (Each.Ended || Now < Each.AbandonAt)
       continue;
     if (Each.Pool)
       Each.Pool->cancel(Each.Ticket);
-    end(Each.Id, AttemptResult::Abandoned);
+    end(Each.Started.Id, AttemptResult::Abandoned);
   }
 }
 
@@ -235,6 +194,7 @@
   if (m_Answer)
     return;
   ++m_Parts.Counters.CallersGone;
+  explain("caller_gone", "connection_closed");
   apply(m_Run.onCallerGone(monotonicNow()));
   answer(http::errorResponse(BadGateway, "unknown", "caller_gone",
                              "the caller closed its connection"));
@@ -249,8 +209,8 @@
 void ActiveRequest::schedule() {
   TimePoint Now = monotonicNow();
   TimePoint Next = m_Run.nextTick(Now);
-  for (const Attempt &Each : m_Attempts)
-    if (!Each.HasEnded)
+  for (const AttemptState &Each : m_Attempts)
+    if (!Each.Ended)
       Next = std::min(Next, Each.AbandonAt);
   if (m_Run.isDone() || Next == TimePoint::max())
     return;
@@ -269,27 +229,21 @@
   schedule();
 }
 
-void ActiveRequest::explain(std::string_view Outcome, std::string_view Reason) {
-  LogLine Line("request");
-  Line.add("request", m_Asked.Id);
-  Line.add("outcome", Outcome);
-  Line.add("reason", Reason);
-  Line.add("route", m_Run.route().Name);
-  Line.add("config", m_Run.plan().Table->version().value());
-  Line.add("patience_ms", m_Run.plan().CallerPatience.count());
+void ActiveRequest::noteSuccess() {
   TimePoint Now = monotonicNow();
-  Line.add("took_ms", millis(Now - m_StartedAt));
-  std::string Unserved;
-  for (const Attempt &Each : m_Attempts) {
-    if (Each.HasEnded && Each.Note.starts_with("served"))
-      continue;
-    Unserved += Each.Replica.value() + "@" +
-                std::to_string(millis(Each.SentAt - m_StartedAt)) +
-                "ms:" + (Each.HasEnded ? Each.Note : "pending") + "; ";
-  }
-  Line.add("attempts", static_cast<std::uint64_t>(m_Attempts.size()));
-  Line.add("unserved", Unserved);
-  m_Parts.Log.write(Line);
+  m_Parts.Latencies.addAnswer(m_Run.route().Name, Now - m_StartedAt);
+  if (!m_Run.meetsObjective(Now))
+    explain("served", "late");
+  else if (isSampled(m_Asked.Id))
+    explain("served", "sampled");
+}
+
+void ActiveRequest::explain(std::string_view Outcome, std::string_view Reason) {
+  m_Parts.Log.write(describeRequest(m_Asked, m_Run, m_Attempts,
+                                    {.Outcome = Outcome,
+                                     .Reason = Reason,
+                                     .ArrivedAt = m_StartedAt,
+                                     .Now = monotonicNow()}));
 }
 
 } // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.h
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include "adapter/CallerRequest.h"
-#include "adapter/ReplicaReply.h"
 #include "coordination/run/RequestRun.h"
 #include "gateway/log/EventLog.h"
-#include "gateway/pool/ReplicaPool.h"
+#include "gateway/metrics/LatencyBook.h"
+#include "gateway/pool/Exchange.h"
+#include "gateway/traffic/AttemptState.h"
 #include "gateway/traffic/ReplicaLinks.h"
 #include "gateway/traffic/TrafficCounters.h"
 #include "http/Response.h"
@@ -25,6 +26,7 @@
   ReplicaFleet &Fleet;
   ReplicaLinks &Links;
   TrafficCounters &Counters;
+  LatencyBook &Latencies;
   EventLog &Log;
 };
 
@@ -44,19 +46,7 @@
   boost::asio::awaitable<http::Response> run();
 
 private:
-  struct Attempt {
-    SubrequestId Id;
-    ServerName Replica;
-    std::shared_ptr<ReplicaPool> Pool;
-    ReplicaPool::Ticket Ticket = 0;
-    TimePoint SentAt;
-    TimePoint AbandonAt = TimePoint::max();
-    bool HasEnded = false;
-    std::optional<adapter::ReplicaReply> Reply;
-    std::string Note; ///< How it ended, for the log.
-  };
-
-  [[nodiscard]] Attempt *find(SubrequestId Id);
+  [[nodiscard]] AttemptState *find(SubrequestId Id);
 
   void apply(const RunActions &Actions);
   void apply(const StartAttempt &Action);
@@ -72,13 +62,15 @@
   void answer(http::Response Response);
   void schedule();
   void onTimer();
+  /// @brief Logs a success that came late or is sampled, and its latency.
+  void noteSuccess();
   void explain(std::string_view Outcome, std::string_view Reason);
 
   TrafficParts m_Parts;
   adapter::CallerRequest m_Asked;
   RequestRun m_Run;
   TimePoint m_StartedAt;
-  std::vector<Attempt> m_Attempts;
+  std::vector<AttemptState> m_Attempts;
   boost::asio::steady_timer m_Timer;
   boost::asio::steady_timer m_Answered; ///< Cancelled by the answer.
   std::optional<http::Response> m_Answer;
--- /dev/null
+++ b/packages/gateway/src/gateway/traffic/AttemptState.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "adapter/ReplicaReply.h"
+#include "coordination/run/RunActions.h"
+#include "gateway/pool/ReplicaPool.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace carawaypond::gateway {
+
+/// @brief One attempt of a request, and how it ended.
+struct AttemptState {
+  StartAttempt Started;
+  std::shared_ptr<ReplicaPool> Pool; ///< Null if the replica is not known.
+  ReplicaPool::Ticket Ticket = 0;
+  TimePoint SentAt;
+  TimePoint AbandonAt = TimePoint::max();
+  std::optional<TimePoint> EndedAt;
+  std::optional<AttemptResult> Ended;
+  std::optional<adapter::ReplicaReply> Reply;
+  std::string Note; ///< Of the connection, if it failed.
+};
+
+} // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/traffic/CallerService.cpp
+++ b/packages/gateway/src/gateway/traffic/CallerService.cpp
@@ -3,6 +3,7 @@
 #include "adapter/ReplyCodec.h"
 #include "adapter/RequestCodec.h"
 #include "gateway/traffic/ActiveRequest.h"
+#include "gateway/traffic/RequestLog.h"
 #include "http/ErrorResponse.h"
 
 #include <algorithm>
@@ -31,11 +32,12 @@
 
 CallerService::CallerService(boost::asio::io_context &Context,
                              TrafficOptions Options, TrafficCounters &Counters,
-                             EventLog &Log)
+                             LatencyBook &Latencies, EventLog &Log)
     : m_Context(Context), m_Options(std::move(Options)), m_Counters(Counters),
-      m_Log(Log), m_Fleet(m_Options.Placement),
-      m_Links(Context, m_Options.Pool), m_Picker(randomShare()),
-      m_View(std::make_shared<TrafficView>()), m_SweepTimer(Context) {}
+      m_Latencies(Latencies), m_Log(Log), m_Verdicts(Log),
+      m_Fleet(m_Options.Placement), m_Links(Context, m_Options.Pool),
+      m_Picker(randomShare()), m_View(std::make_shared<TrafficView>()),
+      m_SweepTimer(Context) {}
 
 Result<void> CallerService::start() {
   http::ListenerOptions Listen;
@@ -87,7 +89,9 @@
 std::size_t CallerService::busy() const { return m_Listener->stats().Open; }
 
 void CallerService::sweep() {
-  m_Links.closeStale(monotonicNow());
+  TimePoint Now = monotonicNow();
+  m_Links.closeStale(Now);
+  m_Verdicts.look(m_Fleet, Now);
   m_SweepTimer.expires_after(SweepInterval);
   m_SweepTimer.async_wait([this](boost::system::error_code Stopped) {
     if (!Stopped)
@@ -98,13 +102,13 @@
 http::Response CallerService::refuse(const adapter::CallerRequest &Asked,
                                      RefusalReason Why) {
   ++m_Counters.Refused;
-  bool IsLeaving = Why == RefusalReason::Leaving;
-  std::string_view Reason = IsLeaving ? "leaving" : "not_ready";
+  std::string_view Reason = nameOf(Why);
   LogLine Line("request");
   Line.add("request", Asked.Id);
   Line.add("outcome", "not_run");
   Line.add("reason", Reason);
   m_Log.write(Line);
+  bool IsLeaving = Why == RefusalReason::Leaving;
   return adapter::encodeRefusal(Reason, IsLeaving ? LeavingRetryAfter
                                                   : NotReadyRetryAfter);
 }
@@ -133,6 +137,7 @@
                      .Fleet = m_Fleet,
                      .Links = m_Links,
                      .Counters = m_Counters,
+                     .Latencies = m_Latencies,
                      .Log = m_Log};
   auto Active = std::make_shared<ActiveRequest>(
       Parts, std::move(Request), std::move(Plan), First, m_Options.Run);
--- a/packages/gateway/src/gateway/traffic/CallerService.h
+++ b/packages/gateway/src/gateway/traffic/CallerService.h
@@ -6,11 +6,13 @@
 #include "coordination/run/RequestRun.h"
 #include "core/outcome/Result.h"
 #include "gateway/log/EventLog.h"
+#include "gateway/metrics/LatencyBook.h"
 #include "gateway/traffic/CallerPatience.h"
 #include "gateway/traffic/ReplicaLinks.h"
 #include "gateway/traffic/TrafficCounters.h"
 #include "gateway/traffic/TrafficOptions.h"
 #include "gateway/traffic/TrafficView.h"
+#include "gateway/traffic/VerdictLog.h"
 #include "http/Listener.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -27,7 +29,8 @@
 class CallerService {
 public:
   CallerService(boost::asio::io_context &Context, TrafficOptions Options,
-                TrafficCounters &Counters, EventLog &Log);
+                TrafficCounters &Counters, LatencyBook &Latencies,
+                EventLog &Log);
 
   /// @brief Begins to listen.
   Result<void> start();
@@ -56,7 +59,9 @@
   boost::asio::io_context &m_Context;
   TrafficOptions m_Options;
   TrafficCounters &m_Counters;
+  LatencyBook &m_Latencies;
   EventLog &m_Log;
+  VerdictLog m_Verdicts;
   ReplicaFleet m_Fleet;
   ReplicaLinks m_Links;
   WeightedPicker m_Picker;
--- /dev/null
+++ b/packages/gateway/src/gateway/traffic/VerdictLog.cpp
@@ -0,0 +1,57 @@
+#include "gateway/traffic/VerdictLog.h"
+
+namespace carawaypond::gateway {
+
+namespace {
+
+constexpr unsigned LooksPerVerdict = 3;
+constexpr int PerCent = 100;
+
+std::string_view nameOf(ReplicaVerdict Held) {
+  switch (Held) {
+  case ReplicaVerdict::Well:
+    return "well";
+  case ReplicaVerdict::Slow:
+    return "slow";
+  case ReplicaVerdict::Failing:
+    return "failing";
+  case ReplicaVerdict::Refusing:
+    return "refusing";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+void VerdictLog::look(const ReplicaFleet &Fleet, TimePoint Now) {
+  ++m_Round;
+  for (const auto &[Name, Service] : Fleet.services())
+    for (const auto &[Id, Gauge] : Service.replicas())
+      look(Gauge, Fleet.options(), Now);
+  std::erase_if(m_Seen, [this](const auto &Each) {
+    return Each.second.LastRound != m_Round;
+  });
+}
+
+void VerdictLog::look(const ReplicaGauge &Gauge,
+                      const PlacementOptions &Options, TimePoint Now) {
+  Seen &Known = m_Seen[Gauge.record().Id];
+  Known.LastRound = m_Round;
+  ReplicaVerdict Held = Gauge.verdict(Options, Now);
+  Known.Looks = Held == Known.Last ? Known.Looks + 1 : 1;
+  Known.Last = Held;
+  if (Held == Known.Logged || Known.Looks < LooksPerVerdict)
+    return;
+  Known.Logged = Held;
+  LogLine Line("replica_judged");
+  Line.add("replica", Gauge.record().Id.value());
+  Line.add("service", Gauge.record().Service.value());
+  Line.add("verdict", nameOf(Held));
+  Line.add("slowness_percent",
+           static_cast<int>(Gauge.slowness(Options, Now) * PerCent));
+  Line.add("failure_percent", static_cast<int>(Gauge.failureRate() * PerCent));
+  Line.add("outstanding", static_cast<std::uint64_t>(Gauge.outstanding()));
+  m_Log.write(Line);
+}
+
+} // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/traffic/fwd.h
+++ b/packages/gateway/src/gateway/traffic/fwd.h
@@ -6,7 +6,9 @@
 struct TrafficView;
 class ActiveRequest;
 class ReplicaLinks;
-class RequestRouter;
+struct AttemptState;
+struct RequestEnd;
 struct TrafficCounters;
+class VerdictLog;
 
 } // namespace carawaypond::gateway
