Refused callers return one by one; hopeless requests are refused at once

Cause: Retry-After was a constant 150 ms (300 ms without a configuration), so that all callers of a burst met full replicas again together; a request behind a long line waited until its deadline. Now: each refused caller gets a moment of its own at the rate that is served; without a replica or a configuration it gets the longest pause that it honours; a request whose wait behind this VM's own requests exceeds its deadline is refused before it is sent.

--- a/packages/coordination/src/coordination/placement/ReplicaFleet.h
+++ b/packages/coordination/src/coordination/placement/ReplicaFleet.h
@@ -3,6 +3,7 @@
 #include "coordination/placement/PlacementOptions.h"
 #include "coordination/placement/RouteLatency.h"
 #include "coordination/placement/ServiceFleet.h"
+#include "coordination/refusal/RetryAdvice.h"
 #include "coordination/routing/RequestRoute.h"
 
 #include <string>
@@ -29,6 +30,10 @@
   ServiceFleet &service(const ServiceName &Name);
   /// @return The latency of @p Of, with a first guess from its objective.
   RouteLatency &latency(const RequestRoute &Of);
+  /// @return When refused callers of @p Of may ask again.
+  RetryAdvice &retryAdvice(const RequestRoute &Of) {
+    return m_RetryAdvice[Of.Name];
+  }
   /// @brief Takes all replicas that are known now.
   /// @return Replicas that were known and are no more.
   std::vector<ServerName> replace(const std::vector<ReplicaRecord> &Known,
@@ -41,6 +46,7 @@
   std::unordered_map<ServiceName, ServiceFleet> m_Services;
   std::unordered_map<ServerName, ServiceName> m_ServiceOf;
   std::unordered_map<std::string, RouteLatency> m_Latencies;
+  std::unordered_map<std::string, RetryAdvice> m_RetryAdvice;
 };
 
 } // namespace carawaypond
--- a/packages/coordination/src/coordination/placement/ReplicaGauge.cpp
+++ b/packages/coordination/src/coordination/placement/ReplicaGauge.cpp
@@ -69,6 +69,17 @@
   return Cost;
 }
 
+Duration ReplicaGauge::expectedWait(Duration Expected,
+                                    const PlacementOptions &Options,
+                                    TimePoint Now) const {
+  std::size_t Slots = std::max(1U, m_Record.Slots);
+  if (m_Pending.size() < Slots)
+    return Duration(0);
+  auto Ahead = static_cast<double>(m_Pending.size() - Slots + 1);
+  return std::chrono::duration_cast<Duration>(
+      Expected * (slowness(Options, Now) * Ahead / static_cast<double>(Slots)));
+}
+
 ReplicaVerdict ReplicaGauge::verdict(const PlacementOptions &Options,
                                      TimePoint Now) const {
   if (m_FailureRate >= FailingVerdict)
--- a/packages/coordination/src/coordination/placement/ReplicaGauge.h
+++ b/packages/coordination/src/coordination/placement/ReplicaGauge.h
@@ -29,6 +29,12 @@
   /// @return How many times slower than normal its answers are.
   [[nodiscard]] double slowness(const PlacementOptions &Options,
                                 TimePoint Now) const;
+  /// @return How long a request sent now waits behind this VM's own ones, at
+  /// least.
+  /// @param Expected The normal latency of such a request.
+  [[nodiscard]] Duration expectedWait(Duration Expected,
+                                      const PlacementOptions &Options,
+                                      TimePoint Now) const;
   /// @return The share of requests that fail, by recent ones.
   [[nodiscard]] double failureRate() const { return m_FailureRate; }
   [[nodiscard]] ReplicaVerdict verdict(const PlacementOptions &Options,
--- /dev/null
+++ b/packages/coordination/src/coordination/refusal/fwd.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace carawaypond {
+
+enum class RefusalReason;
+class RetryAdvice;
+struct RetryAdviceOptions;
+
+} // namespace carawaypond
--- a/packages/coordination/src/coordination/run/RequestRun.cpp
+++ b/packages/coordination/src/coordination/run/RequestRun.cpp
@@ -107,20 +107,29 @@
 
 RunActions RequestRun::start(TimePoint Now) {
   RunActions Out;
-  for (Target &Each : m_Targets)
-    Each.IsGivenUp = !hasReplica(Each, Now);
+  for (Target &Each : m_Targets) {
+    std::optional<Duration> Wait = leastWait(Each, Now);
+    Each.IsGivenUp = !Wait || Now + *Wait >= m_Deadline;
+  }
   if (canSucceed())
     for (Target &Each : m_Targets)
-      sendFirst(Each, Out, Now);
+      if (!Each.IsGivenUp)
+        sendFirst(Each, Out, Now);
   decide(Out, Now);
   return Out;
 }
 
-bool RequestRun::hasReplica(const Target &Of, TimePoint Now) const {
-  const auto &Replicas = m_Fleet.service(Of.Service).replicas();
-  return std::any_of(Replicas.begin(), Replicas.end(), [Now](const auto &Each) {
-    return Each.second.isUsable(Now);
-  });
+std::optional<Duration> RequestRun::leastWait(const Target &Of,
+                                              TimePoint Now) const {
+  std::optional<Duration> Least;
+  for (const auto &[Id, Gauge] : m_Fleet.service(Of.Service).replicas()) {
+    if (!Gauge.isUsable(Now))
+      continue;
+    Duration Wait =
+        Gauge.expectedWait(m_Latency.median(), m_Fleet.options(), Now);
+    Least = std::min(Least.value_or(Wait), Wait);
+  }
+  return Least;
 }
 
 bool RequestRun::canSucceed() const {
@@ -264,9 +273,11 @@
     return;
   if (!isGather()) {
     const Target &Only = m_Targets.front();
-    if (Only.Served)
+    if (Only.Served) {
+      m_Fleet.retryAdvice(route()).onServed(Now);
       return finish(RelayReply{.Attempt = *Only.Served}, m_Options.LoserGrace,
                     Out);
+    }
     if (Only.IsGivenUp || Now >= m_Deadline)
       answerFailure(Out, Now);
     return;
@@ -274,17 +285,18 @@
   if (!canSucceed())
     return answerFailure(Out, Now);
   if (isDecided() || Now >= m_Deadline)
-    return hasLeastShare() ? answerParts(Out) : answerFailure(Out, Now);
+    return hasLeastShare() ? answerParts(Out, Now) : answerFailure(Out, Now);
   if (Now < m_ObjectiveAt || !hasLeastShare())
     return;
   auto LateWait = std::chrono::duration_cast<Duration>(
       (m_Deadline - m_ObjectiveAt) * m_Options.LateWaitShare);
   bool IsAtObjective = Now < m_ObjectiveAt + m_Options.CallerAllowance / 2;
   if (IsAtObjective || Now >= m_ObjectiveAt + LateWait)
-    answerParts(Out);
+    answerParts(Out, Now);
 }
 
-void RequestRun::answerParts(RunActions &Out) {
+void RequestRun::answerParts(RunActions &Out, TimePoint Now) {
+  m_Fleet.retryAdvice(route()).onServed(Now);
   AnswerParts Answer;
   for (const Target &Each : m_Targets) {
     if (Each.Served)
@@ -299,16 +311,25 @@
   finish(std::move(Answer), Grace, Out);
 }
 
-void RequestRun::answerFailure(RunActions &Out, TimePoint Now) {
-  if (!mayHaveRun()) {
-    bool WasSent =
-        std::any_of(m_Targets.begin(), m_Targets.end(),
-                    [](const Target &Each) { return !Each.Attempts.empty(); });
-    return finish(RefuseRequest{.Why = WasSent ? RefusalReason::ReplicasBusy
-                                               : RefusalReason::NoReplica,
-                                .RetryAfter = m_Options.RetryAfter},
-                  Duration(0), Out);
+void RequestRun::refuse(RunActions &Out, TimePoint Now) {
+  RefusalReason Why = RefusalReason::ReplicasBusy;
+  Duration Longest{};
+  for (const Target &Each : m_Targets) {
+    std::optional<Duration> Wait = leastWait(Each, Now);
+    if (!Wait)
+      Why = RefusalReason::NoReplica;
+    Longest = std::max(Longest, Wait.value_or(Duration(0)));
   }
+  auto Left = m_Plan.CallerPatience -
+              std::chrono::duration_cast<Milliseconds>(Now - m_StartedAt);
+  Milliseconds RetryAfter =
+      m_Fleet.retryAdvice(route()).retryAfter(Why, Left, Longest, Now);
+  finish(RefuseRequest{.Why = Why, .RetryAfter = RetryAfter}, Duration(0), Out);
+}
+
+void RequestRun::answerFailure(RunActions &Out, TimePoint Now) {
+  if (!mayHaveRun())
+    return refuse(Out, Now);
   if (!isGather() && m_Targets.front().Failed)
     return finish(RelayReply{.Attempt = *m_Targets.front().Failed},
                   m_Options.LoserGrace, Out);
--- a/packages/coordination/src/coordination/run/RequestRun.h
+++ b/packages/coordination/src/coordination/run/RequestRun.h
@@ -84,7 +84,9 @@
   [[nodiscard]] std::size_t servedCount() const;
   [[nodiscard]] bool hasLeastShare() const;
   [[nodiscard]] bool isDecided() const;
-  [[nodiscard]] bool hasReplica(const Target &Of, TimePoint Now) const;
+  /// @return The least wait at a replica of the target, if it has one.
+  [[nodiscard]] std::optional<Duration> leastWait(const Target &Of,
+                                                  TimePoint Now) const;
   /// @return Whether enough targets may still be served.
   [[nodiscard]] bool canSucceed() const;
   [[nodiscard]] bool isLate(const Target &Of, TimePoint Now) const;
@@ -93,9 +95,10 @@
   void send(Target &To, ReplicaGauge &Replica, AttemptReason Why,
             RunActions &Out, TimePoint Now);
   bool sendExtra(Target &To, AttemptReason Why, RunActions &Out, TimePoint Now);
+  void refuse(RunActions &Out, TimePoint Now);
   void hedge(RunActions &Out, TimePoint Now);
   void decide(RunActions &Out, TimePoint Now);
-  void answerParts(RunActions &Out);
+  void answerParts(RunActions &Out, TimePoint Now);
   void answerFailure(RunActions &Out, TimePoint Now);
   void finish(RunAction Answer, Duration Grace, RunActions &Out);
 
--- a/packages/coordination/src/coordination/run/RunActions.h
+++ b/packages/coordination/src/coordination/run/RunActions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/refusal/RefusalReason.h"
 #include "core/id/Ids.h"
 #include "core/time/Time.h"
 
@@ -47,8 +48,6 @@
   SubrequestId Attempt;
 };
 
-enum class RefusalReason { NoReplica, ReplicasBusy, Leaving, NotReady };
-
 /// @brief Answer that the request has not run and will not run.
 struct RefuseRequest {
   RefusalReason Why = RefusalReason::NoReplica;
--- a/packages/coordination/src/coordination/run/RunOptions.h
+++ b/packages/coordination/src/coordination/run/RunOptions.h
@@ -18,7 +18,6 @@
   double LateWaitShare = 0.5;
   /// Extra arrivals that hedges leave for retries.
   double HedgeReserve = 2;
-  Milliseconds RetryAfter{150};
 };
 
 } // namespace carawaypond
--- a/packages/coordination/src/coordination/run/fwd.h
+++ b/packages/coordination/src/coordination/run/fwd.h
@@ -4,7 +4,6 @@
 
 enum class AttemptReason;
 enum class FailureReason;
-enum class RefusalReason;
 struct AnswerParts;
 struct RelayReply;
 struct RefuseRequest;
--- a/packages/coordination/test/coordination/placement/ReplicaGaugeTest.cpp
+++ b/packages/coordination/test/coordination/placement/ReplicaGaugeTest.cpp
@@ -102,3 +102,30 @@
   Service.put(Moved, Later);
   CHECK(Service.cheapest({}, Options, Later) != nullptr);
 }
+
+TEST_CASE(
+    "a replica is judged by its answers, and well again after good ones") {
+  ReplicaGauge Gauge(makeRecord("a"), Start);
+  CHECK(Gauge.verdict(Options, Start) == ReplicaVerdict::Well);
+  for (int I = 0; I < 4; ++I)
+    exchange(Gauge, Normal * 12, Start);
+  TimePoint Now = Start + Milliseconds(120);
+  CHECK(Gauge.verdict(Options, Now) == ReplicaVerdict::Slow);
+  for (int I = 0; I < 4; ++I)
+    exchange(Gauge, Normal, Now, AttemptResult::ServerFailed);
+  CHECK(Gauge.verdict(Options, Now) == ReplicaVerdict::Failing);
+  for (int I = 0; I < 20; ++I)
+    exchange(Gauge, Normal, Now);
+  CHECK(Gauge.verdict(Options, Now) == ReplicaVerdict::Well);
+}
+
+TEST_CASE("the expected wait grows with what this VM has there and with "
+          "slowness") {
+  ReplicaGauge Gauge(makeRecord("a"), Start);
+  CHECK(Gauge.expectedWait(Normal, Options, Start) == Duration(0));
+  Gauge.onSent(SubrequestId(1), Normal, Start);
+  CHECK(Gauge.expectedWait(Normal, Options, Start) == Duration(0));
+  for (std::uint64_t I = 2; I <= 5; ++I)
+    Gauge.onSent(SubrequestId(I), Normal, Start);
+  CHECK(Gauge.expectedWait(Normal, Options, Start) == Normal * 2);
+}
--- a/packages/coordination/test/coordination/run/RequestRunTest.cpp
+++ b/packages/coordination/test/coordination/run/RequestRunTest.cpp
@@ -258,3 +258,21 @@
   CHECK(Made.makeRun(Milliseconds(5'000)).deadline() <=
         Start + Milliseconds(800));
 }
+
+TEST_CASE("a request that would wait behind others beyond its deadline is "
+          "refused at once") {
+  World Made(1);
+  for (int I = 0; I < 400; ++I) {
+    RequestRun Run = Made.makeRun();
+    RunActions Out = Run.start(Start);
+    auto Refused = pick<RefuseRequest>(Out);
+    if (!Refused.empty()) {
+      CHECK(pick<StartAttempt>(Out).empty());
+      CHECK(Refused.front().Why == RefusalReason::ReplicasBusy);
+      CHECK(Refused.front().RetryAfter <= Milliseconds(800) / 3);
+      CHECK(I > 100);
+      return;
+    }
+  }
+  FAIL("no request was refused");
+}
--- a/packages/gateway/src/gateway/traffic/CallerService.cpp
+++ b/packages/gateway/src/gateway/traffic/CallerService.cpp
@@ -16,9 +16,8 @@
 namespace {
 
 constexpr Milliseconds SweepInterval{500};
-/// When a VM that knows no configuration yet may be asked again.
-constexpr Milliseconds NotReadyRetryAfter{300};
-constexpr Milliseconds LeavingRetryAfter{20};
+/// How long a caller that does not say so is taken to wait.
+constexpr Milliseconds DefaultPatience{1'000};
 constexpr unsigned BadRequest = 400;
 constexpr unsigned NotFound = 404;
 
@@ -108,9 +107,10 @@
   Line.add("outcome", "not_run");
   Line.add("reason", Reason);
   m_Log.write(Line);
-  bool IsLeaving = Why == RefusalReason::Leaving;
-  return adapter::encodeRefusal(Reason, IsLeaving ? LeavingRetryAfter
-                                                  : NotReadyRetryAfter);
+  Milliseconds RetryAfter =
+      m_RetryAdvice.retryAfter(Why, Asked.Patience.value_or(DefaultPatience),
+                               Duration(0), monotonicNow());
+  return adapter::encodeRefusal(Reason, RetryAfter);
 }
 
 awaitable<http::Response> CallerService::handle(http::Request Asked) {
--- a/packages/gateway/src/gateway/traffic/CallerService.h
+++ b/packages/gateway/src/gateway/traffic/CallerService.h
@@ -2,6 +2,7 @@
 
 #include "adapter/CallerRequest.h"
 #include "coordination/placement/ReplicaFleet.h"
+#include "coordination/refusal/RetryAdvice.h"
 #include "coordination/routing/WeightedPicker.h"
 #include "coordination/run/RequestRun.h"
 #include "core/outcome/Result.h"
@@ -66,6 +67,7 @@
   ReplicaLinks m_Links;
   WeightedPicker m_Picker;
   CallerPatience m_Patience;
+  RetryAdvice m_RetryAdvice; ///< For requests that find no route yet.
   std::shared_ptr<const TrafficView> m_View;
   std::unique_ptr<http::Listener> m_Listener;
   boost::asio::steady_timer m_SweepTimer;
