--- a/scripts/soak/site.py
+++ b/scripts/soak/site.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+import socket
 import time
 
 from loopback.proxy import Proxy
@@ -23,6 +24,21 @@
 LEAST_SHARE = {"/find/": 0.85, "/quick/": 0.6}
 OBJECTIVE_MS = {"/find/": 150, "/quick/": 80}
 RESHARD_LEAD_S = 2.0
+RESERVATION_PORT = 7000
+
+
+def reserve_network():
+    """Returns a prefix within 127.0.0.0/8 and the socket that reserves it, so
+    that no other soak on this machine uses it at the time."""
+    for number in range(200):
+        prefix = f"127.{20 + (os.getpid() + number) % 200}"
+        held = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            held.bind((f"{prefix}.9.9", RESERVATION_PORT))
+            return prefix, held
+        except OSError:
+            held.close()
+    raise RuntimeError("every network of 127.0.0.0/8 that soaks use is taken")
 
 
 class Site:
@@ -33,8 +49,7 @@
         self.folder = folder
         self.program = program
         self.vm_count = vm_count
-        # Addresses of 127.0.0.0/8 that no other soak uses at the time.
-        self.prefix = f"127.{20 + os.getpid() % 200}"
+        self.prefix, self.reservation = reserve_network()
         self.observer = Observer()
         self.store = Store(seed)
         self.store_proxies = {}  # VM name -> its way to the store
@@ -74,6 +89,7 @@
         for proxy in self.store_proxies.values():
             await proxy.stop()
         await self.store.stop()
+        self.reservation.close()
 
     # Replicas.
 
