One follower of the store for both kinds of objects

Two followers shared their loops, failures and pauses line for line; now one follower hands what it reads to a variant of sinks.

--- a/packages/gateway/src/gateway/app/Gateway.cpp
+++ b/packages/gateway/src/gateway/app/Gateway.cpp
@@ -3,10 +3,9 @@
 #include "adapter/StoreClient.h"
 #include "coordination/drain/VmDrain.h"
 #include "gateway/app/MetricsText.h"
-#include "gateway/control/ConfigFollower.h"
 #include "gateway/control/ControlServers.h"
 #include "gateway/control/ReaderFollower.h"
-#include "gateway/control/ReplicaFollower.h"
+#include "gateway/control/StoreFollower.h"
 #include "gateway/control/StoreRole.h"
 #include "gateway/control/VmRegistration.h"
 #include "gateway/peers/BeatExchange.h"
@@ -119,8 +118,8 @@
   StoreHealth m_Health{m_Log};
   adapter::StoreClient m_Store;
   StoreRole m_Role;
-  ConfigFollower m_Config;
-  ReplicaFollower m_Replicas;
+  StoreFollower m_Config;
+  StoreFollower m_Replicas;
   ReaderFollower m_Reader;
   PeerFetcher m_Fetcher;
   BeatExchange m_Beats;
@@ -142,9 +141,10 @@
           }),
       m_Store(m_ControlIo.get_executor(), m_Settings.StoreAddress),
       m_Role(m_State, m_Log, [this] { return describe(); }),
-      m_Config(m_ControlIo, m_Store, m_State, m_Health, m_Role, m_Follow),
-      m_Replicas(m_ControlIo, m_Store, m_State, m_Health, m_Role, m_Log,
-                 m_Follow),
+      m_Config(m_ControlIo, m_Store, m_State, m_Health, m_Role, m_Follow,
+               ConfigSink(m_State), m_Follow.ConfigPause),
+      m_Replicas(m_ControlIo, m_Store, m_State, m_Health, m_Role, m_Follow,
+                 ReplicaSink(m_State, m_Log), m_Follow.ReplicaPause),
       m_Reader(m_ControlIo, m_State, m_Role, m_Follow),
       m_Fetcher(m_ControlIo, m_State, m_Health, m_Log, m_Settings.PeerAddress,
                 m_Settings.Seeds),
--- /dev/null
+++ b/packages/gateway/src/gateway/control/ConfigSink.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "adapter/StoredDocument.h"
+#include "gateway/control/FleetState.h"
+
+#include <cstdint>
+
+namespace carawaypond::gateway {
+
+/// @brief Takes the configuration in force from the store.
+class ConfigSink {
+public:
+  explicit ConfigSink(FleetState &State) : m_State(State) {}
+
+  [[nodiscard]] static const char *kind();
+
+  void beginList() {}
+  void listed(const adapter::StoredDocument &Document);
+  void endList(std::uint64_t) {}
+  void changed(const adapter::DocumentChange &Change);
+  void followed(std::uint64_t) {}
+
+private:
+  FleetState &m_State;
+};
+
+} // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/control/StoreFollower.cpp
@@ -0,0 +1,100 @@
+#include "gateway/control/StoreFollower.h"
+
+namespace carawaypond::gateway {
+
+using boost::asio::awaitable;
+
+StoreFollower::StoreFollower(boost::asio::io_context &Context,
+                             adapter::StoreClient &Store, FleetState &State,
+                             StoreHealth &Health, StoreRole &Role,
+                             const FollowOptions &Options, Sink Into,
+                             Milliseconds Pause)
+    : m_Store(Store), m_State(State), m_Health(Health), m_Role(Role),
+      m_Options(Options), m_Sink(std::move(Into)), m_AnswerPause(Pause),
+      m_Pause(Context, Options) {}
+
+const char *StoreFollower::kind() const {
+  return std::visit([](const auto &Into) { return Into.kind(); }, m_Sink);
+}
+
+awaitable<void> StoreFollower::run() {
+  for (;;) {
+    if (!m_Role.readsStore()) {
+      m_Cursor = WatchCursor();
+      co_await m_Pause.wait(m_Options.RolePause);
+      continue;
+    }
+    bool Succeeded = false;
+    if (m_Cursor.mustList())
+      Succeeded = co_await list();
+    else
+      Succeeded = co_await watch();
+    if (Succeeded)
+      co_await m_Pause.wait(m_AnswerPause);
+    else
+      co_await m_Pause.afterFailure();
+  }
+}
+
+void StoreFollower::onFailed(const Error &Why) {
+  m_Cursor.onFailed();
+  bool IsStoreUp = Why.Code == ErrorCode::Conflict;
+  if (!IsStoreUp && m_Health.onFailed(Why, monotonicNow()))
+    m_State.onStoreLost();
+}
+
+void StoreFollower::onAnswered() {
+  m_Pause.reset();
+  if (m_Health.onAnswered(monotonicNow()))
+    m_State.onStoreAnswered();
+}
+
+awaitable<bool> StoreFollower::list() {
+  std::visit([](auto &Into) { Into.beginList(); }, m_Sink);
+  std::uint64_t Revision = 0;
+  std::string After;
+  bool HasMore = true;
+  while (HasMore) {
+    TimePoint Deadline = monotonicNow() + m_Options.AnswerTimeout;
+    auto Page = co_await m_Store.list(kind(), After, Deadline);
+    if (!Page) {
+      onFailed(Page.error());
+      co_return false;
+    }
+    onAnswered();
+    const auto &Documents = Page.value().Documents;
+    for (const adapter::StoredDocument &Each : Documents)
+      std::visit([&](auto &Into) { Into.listed(Each); }, m_Sink);
+    // Changes after the first page are asked for again by the watch.
+    if (Revision == 0)
+      Revision = Page.value().Revision;
+    HasMore = Page.value().HasMore && !Documents.empty();
+    if (HasMore)
+      After = Documents.back().Name;
+  }
+  std::visit([&](auto &Into) { Into.endList(Revision); }, m_Sink);
+  m_State.publish();
+  m_Cursor.onListed(Revision);
+  co_return !m_Cursor.mustList();
+}
+
+awaitable<bool> StoreFollower::watch() {
+  TimePoint Deadline =
+      monotonicNow() + m_Options.WatchWait + m_Options.AnswerTimeout;
+  auto Changes = co_await m_Store.watch(kind(), m_Cursor.revision(),
+                                        m_Options.WatchWait, Deadline);
+  if (!Changes) {
+    onFailed(Changes.error());
+    co_return false;
+  }
+  onAnswered();
+  for (const adapter::DocumentChange &Each : Changes.value().Changes)
+    std::visit([&](auto &Into) { Into.changed(Each); }, m_Sink);
+  m_Cursor.onAnswer(Changes.value().Changes.size(), Changes.value().Revision);
+  std::visit([this](auto &Into) { Into.followed(m_Cursor.revision()); },
+             m_Sink);
+  m_State.publish();
+  co_return true;
+}
+
+} // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/control/ConfigFollower.h
+++ b/packages/gateway/src/gateway/control/StoreFollower.h
@@ -2,8 +2,10 @@
 
 #include "adapter/StoreClient.h"
 #include "coordination/watch/WatchCursor.h"
+#include "gateway/control/ConfigSink.h"
 #include "gateway/control/FleetState.h"
 #include "gateway/control/FollowOptions.h"
+#include "gateway/control/ReplicaSink.h"
 #include "gateway/control/RetryPause.h"
 #include "gateway/control/StoreHealth.h"
 #include "gateway/control/StoreRole.h"
@@ -11,19 +13,28 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <variant>
+
 namespace carawaypond::gateway {
 
-/// @brief Keeps the configuration in force equal to the one in the store.
-class ConfigFollower {
+/// @brief Keeps what this VM knows of one kind of object equal to the store,
+/// while it is this VM's role to read the store: a list, then watches; another
+/// list after each failure.
+class StoreFollower {
 public:
-  ConfigFollower(boost::asio::io_context &Context, adapter::StoreClient &Store,
-                 FleetState &State, StoreHealth &Health, StoreRole &Role,
-                 const FollowOptions &Options);
+  using Sink = std::variant<ConfigSink, ReplicaSink>;
+
+  /// @param Pause After each answer.
+  StoreFollower(boost::asio::io_context &Context, adapter::StoreClient &Store,
+                FleetState &State, StoreHealth &Health, StoreRole &Role,
+                const FollowOptions &Options, Sink Into, Milliseconds Pause);
 
   /// @brief Follows for ever.
   boost::asio::awaitable<void> run();
 
 private:
+  [[nodiscard]] const char *kind() const;
+
   boost::asio::awaitable<bool> list();
   boost::asio::awaitable<bool> watch();
   void onFailed(const Error &Why);
@@ -34,6 +45,8 @@
   StoreHealth &m_Health;
   StoreRole &m_Role;
   FollowOptions m_Options;
+  Sink m_Sink;
+  Milliseconds m_AnswerPause;
   RetryPause m_Pause;
   WatchCursor m_Cursor;
 };
--- a/packages/gateway/src/gateway/control/fwd.h
+++ b/packages/gateway/src/gateway/control/fwd.h
@@ -2,10 +2,11 @@
 
 namespace carawaypond::gateway {
 
-class ConfigFollower;
+class ConfigSink;
 class ControlServers;
 class FleetState;
-class ReplicaFollower;
+class ReplicaSink;
+class StoreFollower;
 class StoreHealth;
 class VmRegistration;
 
