--- a/scripts/lint.py
+++ b/scripts/lint.py
@@ -25,12 +25,13 @@
             and os.path.exists(each)]
 
 
-def groups_of(files):
+def groups_of(files, known):
     by_folder = {}
     for each in files:
-        # A main() can't be joined with another.
-        is_main = os.path.basename(each) == "main.cpp"
-        key = each if is_main else os.path.dirname(each)
+        # A main() can't be joined with another; the linter guesses the command
+        # of a source that no target builds.
+        is_alone = os.path.basename(each) == "main.cpp" or each not in known
+        key = each if is_alone else os.path.dirname(each)
         by_folder.setdefault(key, []).append(each)
     for members in by_folder.values():
         for start in range(0, len(members), MAX_SOURCES):
@@ -48,6 +49,9 @@
     os.makedirs(JOINED, exist_ok=True)
     entries, paths = [], []
     for number, members in enumerate(groups):
+        if len(members) == 1:
+            paths.append(None)
+            continue
         path = os.path.abspath(os.path.join(JOINED, f"{number}.cpp"))
         with open(path, "w", encoding="utf-8") as file:
             for each in members:
@@ -74,7 +78,7 @@
 
 
 def lint(members, joined):
-    if joined and len(members) > 1:
+    if joined:
         code, _ = tidy(JOINED, joined, f"--header-filter={HEADERS}")
         if code == 0:
             return 0, ""
@@ -86,10 +90,7 @@
 def main():
     files = sys.argv[1:] or sources()
     known = commands()
-    groups = list(groups_of([each for each in files if each in known]))
-    for each in files:
-        if each not in known:
-            print(f"{each} is built by no target", file=sys.stderr)
+    groups = list(groups_of(files, known))
     joined = write_joined(groups, known)
     jobs = int(os.environ.get("JOBS", os.cpu_count()))
     with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
