--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -75,9 +75,12 @@
     def signal(self, number):
         if self.child is None or self.child.returncode is not None:
             return False
+        try:
+            os.kill(self.child.pid, number)
+        except ProcessLookupError:
+            return False  # it has ended; the loop has not been told yet
         if number in (signal.SIGKILL, signal.SIGTERM):
             self.ends_expected += 1
-        os.kill(self.child.pid, number)
         return True
 
     async def shut_down(self):
