DRAIN: log lines and metrics that tell the hypotheses apart

Cause: none mended here. Before, a list that lacked an entry wrote no line for an entry that is still used, no line told how old the VM's knowledge was when it learnt of a change, and nothing told that an attempt waited in its pool until its replica had left. Now: replica_missing also for lists, with the time that is left; replica_leaving and replica_gone from every source, with unconfirmed_ms; sent_to_leaving with the time in the pool; attempts say how long they were queued; two gauges for the age of what is known. Followers take over the age that the VM they follow tells.

No decision is changed.

--- a/packages/coordination/src/coordination/replicas/ReplicaBook.h
+++ b/packages/coordination/src/coordination/replicas/ReplicaBook.h
@@ -29,6 +29,11 @@
 
   /// @return Replicas that may get requests, and those that are leaving.
   [[nodiscard]] const Entries &entries() const { return m_Entries; }
+  /// @return Entries that went around an outage, and until when each is
+  /// believed.
+  [[nodiscard]] const std::map<ServerName, TimePoint> &missing() const {
+    return m_Missing;
+  }
   /// @return When expire() next has something to do, if ever.
   [[nodiscard]] std::optional<TimePoint> nextExpiry() const;
 
--- a/packages/gateway/src/gateway/app/MetricsText.cpp
+++ b/packages/gateway/src/gateway/app/MetricsText.cpp
@@ -30,9 +30,12 @@
   addLine(Text, "attempts_refused_total", Counters.AttemptsRefused);
   addLine(Text, "attempts_lost_total", Counters.AttemptsLost);
   addLine(Text, "attempts_abandoned_total", Counters.AttemptsAbandoned);
+  addLine(Text, "attempts_to_leaving_total", Counters.AttemptsToLeaving);
   addLine(Text, "replica_connections_opened_total", Counters.Connections);
   addLine(Text, "config_version", State.configVersion());
   addLine(Text, "replicas_known", State.replicas().entries().size());
+  addLine(Text, "config_age_milliseconds", State.configAge().count());
+  addLine(Text, "replicas_age_milliseconds", State.replicaAge().count());
   addLine(Text, "vms_known", State.vms().known().size() + 1);
   addLine(Text, "store_reads_total", Calls.Reads);
   addLine(Text, "store_watches_total", Calls.Watches);
--- a/packages/gateway/src/gateway/control/ConfigSink.h
+++ b/packages/gateway/src/gateway/control/ConfigSink.h
@@ -19,6 +19,7 @@
   void endList(std::uint64_t) {}
   void changed(const adapter::DocumentChange &Change);
   void followed(std::uint64_t) {}
+  void confirm(TimePoint At) { m_State.confirmConfig(At); }
 
 private:
   FleetState &m_State;
--- a/packages/gateway/src/gateway/control/FleetState.cpp
+++ b/packages/gateway/src/gateway/control/FleetState.cpp
@@ -12,6 +12,10 @@
 /// Relative change of this VM's share that traffic has to know.
 constexpr double ShareStep = 0.15;
 
+Milliseconds ageOf(TimePoint From, TimePoint Now) {
+  return std::chrono::duration_cast<Milliseconds>(Now - From);
+}
+
 } // namespace
 
 FleetState::FleetState(VmName Self, EventLog &Log, OwnLoad Load,
@@ -54,9 +58,11 @@
   Line.add("source", Source);
   m_Log.write(Line);
   bool IsFromStore = Source == StoreSource;
+  std::map<ServerName, TimePoint> Before = m_Book.missing();
   bool Changed = IsFromStore
                      ? m_Book.replaceAll(std::move(Listed), monotonicNow())
                      : m_Book.adoptAll(std::move(Listed));
+  logMissing(Before);
   m_ReplicaRevision = Revision;
   m_IsDirty = m_IsDirty || Changed || !m_HasReplicas;
   m_HasReplicas = true;
@@ -77,10 +83,9 @@
 void FleetState::removeReplica(const ServerName &Id) {
   if (!m_Book.entries().contains(Id))
     return;
+  std::map<ServerName, TimePoint> Before = m_Book.missing();
   bool Changed = m_Book.remove(Id, monotonicNow());
-  LogLine Line(Changed ? "replica_gone" : "replica_missing");
-  Line.add("replica", Id.value());
-  m_Log.write(Line);
+  logMissing(Before);
   m_IsDirty = m_IsDirty || Changed;
 }
 
@@ -99,6 +104,48 @@
   publish();
 }
 
+void FleetState::logMissing(const std::map<ServerName, TimePoint> &Before) {
+  for (const auto &[Id, Until] : m_Book.missing()) {
+    if (Before.contains(Id))
+      continue;
+    LogLine Line("replica_missing");
+    Line.add("replica", Id.value());
+    Line.add("believed_ms", ageOf(monotonicNow(), Until).count());
+    m_Log.write(Line);
+  }
+}
+
+void FleetState::logLeft(std::uint64_t Sequence) {
+  auto Changes = m_ReplicaChanges.since(Sequence);
+  if (!Changes)
+    return;
+  for (const ReplicaChanges::Change &Each : *Changes) {
+    bool IsLeaving = Each.Record && Each.Record->State == ReplicaState::Leaving;
+    if (Each.Record && !IsLeaving)
+      continue;
+    LogLine Line(IsLeaving ? "replica_leaving" : "replica_gone");
+    Line.add("replica", Each.Id.value());
+    Line.add("unconfirmed_ms", replicaAge().count());
+    m_Log.write(Line);
+  }
+}
+
+Milliseconds FleetState::replicaAge() const {
+  return ageOf(m_ReplicasConfirmedAt, monotonicNow());
+}
+
+Milliseconds FleetState::configAge() const {
+  return ageOf(m_ConfigConfirmedAt, monotonicNow());
+}
+
+void FleetState::confirmReplicas(TimePoint At) {
+  m_ReplicasConfirmedAt = std::max(m_ReplicasConfirmedAt, At);
+}
+
+void FleetState::confirmConfig(TimePoint At) {
+  m_ConfigConfirmedAt = std::max(m_ConfigConfirmedAt, At);
+}
+
 void FleetState::onStoreLost() { m_Book.onStoreLost(); }
 
 void FleetState::onStoreAnswered() { m_Book.onStoreAnswered(monotonicNow()); }
@@ -132,7 +179,9 @@
     return;
   m_IsDirty = false;
   ++m_Changes;
+  std::uint64_t Before = m_ReplicaChanges.sequence();
   m_ReplicaChanges.follow(m_Book.entries());
+  logLeft(Before);
   m_Signal.notify();
   auto View = std::make_shared<TrafficView>();
   View->Table = m_Table;
--- a/packages/gateway/src/gateway/control/FleetState.h
+++ b/packages/gateway/src/gateway/control/FleetState.h
@@ -43,6 +43,11 @@
   [[nodiscard]] std::uint64_t replicaRevision() const {
     return m_ReplicaRevision;
   }
+  /// @return How long ago the replicas were known to be as in the store; since
+  /// the start if never.
+  [[nodiscard]] Milliseconds replicaAge() const;
+  /// @return Like it, for the configuration.
+  [[nodiscard]] Milliseconds configAge() const;
   [[nodiscard]] const ReplicaBook &replicas() const { return m_Book; }
   [[nodiscard]] const VmBoard &vms() const { return m_Vms; }
   /// @return How many views were published.
@@ -62,6 +67,10 @@
   void setReplicaRevision(std::uint64_t Revision) {
     m_ReplicaRevision = Revision;
   }
+  /// @brief The replicas were as known here in the store at @p At.
+  void confirmReplicas(TimePoint At);
+  /// @brief The configuration was as known here in the store at @p At.
+  void confirmConfig(TimePoint At);
   void onStoreLost();
   void onStoreAnswered();
   /// @brief Takes a heartbeat.
@@ -85,12 +94,19 @@
   }
 
 private:
+  /// @brief Tells which replicas get nothing any more since the change
+  /// @p Sequence.
+  void logLeft(std::uint64_t Sequence);
+  void logMissing(const std::map<ServerName, TimePoint> &Before);
+
   EventLog &m_Log;
   Publish m_OnChange;
   std::shared_ptr<const RoutingTable> m_Table;
   nlohmann::json m_ConfigDocument;
   ReplicaBook m_Book{ReplicaBookOptions{}};
   std::uint64_t m_ReplicaRevision = 0;
+  TimePoint m_ReplicasConfirmedAt = monotonicNow();
+  TimePoint m_ConfigConfirmedAt = monotonicNow();
   VmBoard m_Vms;
   OwnLoad m_OwnLoad;
   double m_Share = 1;
--- a/packages/gateway/src/gateway/control/ReaderFollower.cpp
+++ b/packages/gateway/src/gateway/control/ReaderFollower.cpp
@@ -76,6 +76,9 @@
   for (const LoadedVm &Each : Answer.FarVms)
     m_State.onRelayed(Each);
   m_State.publish();
+  TimePoint Now = monotonicNow();
+  m_State.confirmReplicas(Now - Answer.ReplicaAge);
+  m_State.confirmConfig(Now - Answer.ConfigAge);
 }
 
 } // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/control/ReplicaSink.h
+++ b/packages/gateway/src/gateway/control/ReplicaSink.h
@@ -22,6 +22,7 @@
   void endList(std::uint64_t Revision);
   void changed(const adapter::DocumentChange &Change);
   void followed(std::uint64_t Revision);
+  void confirm(TimePoint At) { m_State.confirmReplicas(At); }
 
 private:
   void logUnreadable(const std::string &Name);
--- a/packages/gateway/src/gateway/control/StoreFollower.cpp
+++ b/packages/gateway/src/gateway/control/StoreFollower.cpp
@@ -49,7 +49,12 @@
     m_State.onStoreAnswered();
 }
 
+void StoreFollower::confirm(TimePoint At) {
+  std::visit([At](auto &Into) { Into.confirm(At); }, m_Sink);
+}
+
 awaitable<bool> StoreFollower::list() {
+  TimePoint AskedAt = monotonicNow();
   std::visit([](auto &Into) { Into.beginList(); }, m_Sink);
   std::uint64_t Revision = 0;
   std::string After;
@@ -74,6 +79,7 @@
   }
   std::visit([&](auto &Into) { Into.endList(Revision); }, m_Sink);
   m_State.publish();
+  confirm(AskedAt);
   m_Cursor.onListed(Revision);
   co_return !m_Cursor.mustList();
 }
@@ -94,6 +100,7 @@
   std::visit([this](auto &Into) { Into.followed(m_Cursor.revision()); },
              m_Sink);
   m_State.publish();
+  confirm(monotonicNow());
   co_return true;
 }
 
--- a/packages/gateway/src/gateway/control/StoreFollower.h
+++ b/packages/gateway/src/gateway/control/StoreFollower.h
@@ -39,6 +39,7 @@
   boost::asio::awaitable<bool> watch();
   void onFailed(const Error &Why);
   void onAnswered();
+  void confirm(TimePoint At);
 
   adapter::StoreClient &m_Store;
   FleetState &m_State;
--- a/packages/gateway/src/gateway/peers/Changes.cpp
+++ b/packages/gateway/src/gateway/peers/Changes.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::uint64_t MaxWaitMillis = 60'000;
+constexpr std::uint64_t MaxAgeMillis = std::uint64_t{1} << 52;
 
 std::uint64_t numberOf(const http::Request &Asked, std::string_view Name) {
   std::string Text = Asked.queryParameter(Name).value_or("");
@@ -22,6 +23,12 @@
   return Value;
 }
 
+Milliseconds readAge(JsonReader &Reader, std::string_view Key) {
+  // A VM of an earlier version does not tell it.
+  std::uint64_t Millis = Reader.integerOr(Key, 0, MaxAgeMillis, 0);
+  return Milliseconds(static_cast<std::int64_t>(Millis));
+}
+
 } // namespace
 
 http::Request encodeChangesQuestion(const ChangesQuestion &Asked) {
@@ -55,6 +62,8 @@
   Body["revision"] = State.replicaRevision();
   Body["reads"] = Self.ReadsStore;
   Body["has_replicas"] = State.hasReplicas();
+  Body["replica_age_ms"] = State.replicaAge().count();
+  Body["config_age_ms"] = State.configAge().count();
   if (State.configVersion() > Asked.ConfigVersion)
     Body["config"] = State.configDocument();
   Body["put"] = json::array();
@@ -90,6 +99,8 @@
   Read.ReadsStore = Reader.booleanOr("reads", false);
   Read.HasReplicas = Reader.booleanOr("has_replicas", false);
   Read.IsWhole = Reader.booleanOr("whole", false);
+  Read.ReplicaAge = readAge(Reader, "replica_age_ms");
+  Read.ConfigAge = readAge(Reader, "config_age_ms");
   for (const json &Each : Reader.array("put")) {
     auto Replica = decodeReplica(Each);
     if (!Replica)
--- a/packages/gateway/src/gateway/peers/Changes.h
+++ b/packages/gateway/src/gateway/peers/Changes.h
@@ -34,7 +34,10 @@
   bool ReadsStore = false;  ///< Whether the store answers that VM.
   bool HasReplicas = false; ///< Whether it ever knew the replicas.
   bool IsWhole = false;     ///< Whether Put lists all replicas.
-  nlohmann::json Config;    ///< Null if there is no newer one.
+  /// How long ago that VM knew its replicas to be as in the store.
+  Milliseconds ReplicaAge{0};
+  Milliseconds ConfigAge{0}; ///< Like it, for the configuration.
+  nlohmann::json Config;     ///< Null if there is no newer one.
   std::vector<ReplicaRecord> Put;
   std::vector<ServerName> Gone;
   std::vector<LoadedVm> FarVms; ///< Of other data centres.
--- a/packages/gateway/src/gateway/pool/Exchange.h
+++ b/packages/gateway/src/gateway/pool/Exchange.h
@@ -23,6 +23,7 @@
   std::string RequestId; ///< That the answer must bear.
   bool IsHead = false;
   bool IsIdempotent = false;
+  std::function<void()> Written; ///< Called as its first byte is sent.
   std::function<void(ExchangeResult)> Done; ///< Called once, unless cancelled.
 };
 
--- a/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
@@ -89,6 +89,8 @@
 }
 
 void ReplicaConnection::write() {
+  if (m_Current->Written)
+    m_Current->Written();
   boost::asio::async_write(m_Socket, boost::asio::buffer(m_Current->Text),
                            [Self = shared_from_this(), Serial = m_Serial](
                                error_code Failed, std::size_t Bytes) {
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
@@ -79,6 +79,7 @@
   m_Attempts.push_back({.Started = Action,
                         .Pool = m_Parts.Links.find(Action.Replica),
                         .SentAt = Now,
+                        .WrittenAt = {},
                         .EndedAt = {},
                         .Ended = {},
                         .Reply = {},
@@ -89,6 +90,9 @@
   Request.RequestId = m_Asked.Id;
   Request.IsHead = m_Asked.IsHead;
   Request.IsIdempotent = m_Run.route().Kind == RequestKind::Idempotent;
+  Request.Written = [Self = shared_from_this(), Id = Action.Id] {
+    Self->onWritten(Id);
+  };
   Request.Done = [Self = shared_from_this(),
                   Id = Action.Id](ExchangeResult How) {
     Self->onExchange(Id, std::move(How));
@@ -152,6 +156,27 @@
                              "the request may have run"));
 }
 
+void ActiveRequest::onWritten(SubrequestId Id) {
+  AttemptState *Made = find(Id);
+  if (Made == nullptr)
+    return;
+  TimePoint Now = monotonicNow();
+  Made->WrittenAt = Now;
+  const ReplicaGauge *Gauge =
+      m_Parts.Fleet.service(Made->Started.Service).find(Made->Started.Replica);
+  if (Gauge != nullptr && Gauge->record().State == ReplicaState::Serving)
+    return;
+  ++m_Parts.Counters.AttemptsToLeaving;
+  LogLine Line("sent_to_leaving");
+  Line.add("request", m_Asked.Id);
+  Line.add("replica", Made->Started.Replica.value());
+  Line.add("known", Gauge != nullptr);
+  Line.add(
+      "queued_ms",
+      std::chrono::duration_cast<Milliseconds>(Now - Made->SentAt).count());
+  m_Parts.Log.write(Line);
+}
+
 void ActiveRequest::onExchange(SubrequestId Id, ExchangeResult How) {
   AttemptState *Made = find(Id);
   if (auto *Failure = std::get_if<ExchangeFailure>(&How)) {
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.h
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.h
@@ -55,6 +55,8 @@
   void apply(const RelayReply &Action);
   void apply(const RefuseRequest &Action);
   void apply(const FailRequest &Action);
+  /// @brief Notes when the attempt left, and tells if its replica had left.
+  void onWritten(SubrequestId Id);
   void onExchange(SubrequestId Id, ExchangeResult How);
   void end(SubrequestId Id, AttemptResult How);
   void abandonOverdue(TimePoint Now);
--- a/packages/gateway/src/gateway/traffic/AttemptState.h
+++ b/packages/gateway/src/gateway/traffic/AttemptState.h
@@ -15,7 +15,8 @@
   StartAttempt Started;
   std::shared_ptr<ReplicaPool> Pool; ///< Null if the replica is not known.
   ReplicaPool::Ticket Ticket = 0;
-  TimePoint SentAt;
+  TimePoint SentAt;                   ///< When it was given to the pool.
+  std::optional<TimePoint> WrittenAt; ///< When its first byte left.
   TimePoint AbandonAt = TimePoint::max();
   std::optional<TimePoint> EndedAt;
   std::optional<AttemptResult> Ended;
--- a/packages/gateway/src/gateway/traffic/RequestLog.cpp
+++ b/packages/gateway/src/gateway/traffic/RequestLog.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::uint64_t RequestsPerSample = 128;
+/// Time in the pool, for a connection, from which it is told.
+constexpr Milliseconds NotableQueueing{5};
 
 std::int64_t millis(Duration Time) {
   return std::chrono::duration_cast<Milliseconds>(Time).count();
@@ -57,6 +59,9 @@
   std::string Text = Made.Started.Replica.value() + "@" +
                      std::to_string(millis(Made.SentAt - ArrivedAt)) + "ms ";
   Text.append(nameOf(Made.Started.Why)).append(" cost ").append(Cost.data());
+  if (Made.WrittenAt && *Made.WrittenAt - Made.SentAt >= NotableQueueing)
+    Text += " queued " + std::to_string(millis(*Made.WrittenAt - Made.SentAt)) +
+            "ms";
   Text += ": ";
   if (!Made.Ended)
     return Text + "pending; ";
--- a/packages/gateway/src/gateway/traffic/TrafficCounters.h
+++ b/packages/gateway/src/gateway/traffic/TrafficCounters.h
@@ -24,7 +24,8 @@
   Counter AttemptsRefused = 0;
   Counter AttemptsLost = 0;
   Counter AttemptsAbandoned = 0;
-  Counter Connections = 0; ///< To replicas, opened.
+  Counter AttemptsToLeaving = 0; ///< Sent to a replica known to leave or gone.
+  Counter Connections = 0;       ///< To replicas, opened.
 };
 
 } // namespace carawaypond::gateway
