--- a/packages/gateway/test/gateway/FakeSite.cpp
+++ b/packages/gateway/test/gateway/FakeSite.cpp
@@ -20,11 +20,8 @@
 } // namespace
 
 FakeSite::FakeSite() : m_Work(m_Context.get_executor()) {
-  auto Opened = http::Listener::open(
-      m_Context, {.Address = AnyPort},
-      [this](http::Request Asked) { return serve(std::move(Asked)); });
-  m_Store = std::move(Opened.value());
   m_Thread = std::thread([this] { m_Context.run(); });
+  addDoor();
 }
 
 FakeSite::~FakeSite() {
@@ -41,7 +38,7 @@
   Settings.ReadyAddress = AnyPort;
   Settings.PeerAddress = AnyPort;
   Settings.DirectoryAddress = AnyPort;
-  Settings.StoreAddress = m_Store->address();
+  Settings.StoreAddress = m_Doors.front()->Listener->address();
   Settings.MaxDescriptors = 1'000;
   Settings.GracePeriod = Milliseconds(6'000);
   Settings.MaxAddressLifetime = Milliseconds(5'000);
@@ -49,23 +46,54 @@
   return Settings;
 }
 
+std::unique_ptr<http::Listener> FakeSite::listen(http::Handler Answer) {
+  std::promise<std::unique_ptr<http::Listener>> Listening;
+  boost::asio::post(m_Context, [&] {
+    auto Opened = http::Listener::open(m_Context, {.Address = AnyPort},
+                                       std::move(Answer));
+    Listening.set_value(std::move(Opened.value()));
+  });
+  return Listening.get_future().get();
+}
+
+FakeSite::Door &FakeSite::addDoor() {
+  Door &Added = *m_Doors.emplace_back(std::make_unique<Door>());
+  Added.Listener = listen([this, &Added](http::Request Asked) {
+    ++Added.Calls;
+    return serve(std::move(Asked), Added);
+  });
+  return Added;
+}
+
+void FakeSite::setStoreDown(bool IsDown) {
+  for (const auto &Each : m_Doors)
+    Each->State = IsDown ? DoorState::Refusing : DoorState::Open;
+}
+
+void FakeSite::putEntry(const Replica &Of, const char *State, int Sequence) {
+  put("servers", Of.Id,
+      {{"Service", Of.Service},
+       {"Address", Of.Address},
+       {"Zone", "umea-a"},
+       {"Version", "v1"},
+       {"Slots", 2},
+       {"State", State},
+       {"WarmupLeftMs", 0},
+       {"Sequence", Sequence}});
+}
+
 FakeSite::Replica &FakeSite::addReplica(const std::string &Service) {
   auto Made = std::make_unique<Replica>();
   Replica &Added = *Made;
   Added.Id = "i-" + std::to_string(m_Replicas.size());
-  std::promise<void> Listening;
-  boost::asio::post(m_Context, [&] {
-    auto Opened = http::Listener::open(
-        m_Context, {.Address = AnyPort},
-        [&Added](http::Request Asked) -> awaitable<http::Response> {
-          ++Added.Arrivals;
-          http::Response Answer = Added.Answer(Asked);
-          co_return Answer;
-        });
-    Added.Listener = std::move(Opened.value());
-    Listening.set_value();
-  });
-  Listening.get_future().wait();
+  Added.Service = Service;
+  Added.Listener =
+      listen([&Added](http::Request Asked) -> awaitable<http::Response> {
+        ++Added.Arrivals;
+        Added.LastArrival = monotonicNow();
+        http::Response Answer = Added.Answer(Asked);
+        co_return Answer;
+      });
   Added.Address = Added.Listener->address();
   Added.Answer = [&Added](const http::Request &Asked) {
     http::Response Answer;
@@ -77,15 +105,7 @@
     return Answer;
   };
   m_Replicas.push_back(std::move(Made));
-  put("servers", Added.Id,
-      {{"Service", Service},
-       {"Address", Added.Address},
-       {"Zone", "umea-a"},
-       {"Version", "v1"},
-       {"Slots", 2},
-       {"State", "ready"},
-       {"WarmupLeftMs", 0},
-       {"Sequence", 1}});
+  putEntry(Added, "ready", 1);
   return Added;
 }
 
@@ -136,9 +156,18 @@
   return Told;
 }
 
-awaitable<http::Response> FakeSite::serve(http::Request Asked) {
+awaitable<void> FakeSite::awaitOpen(const Door &At) {
+  boost::asio::steady_timer Pause(m_Context);
+  while (At.State == DoorState::Silent) {
+    Pause.expires_after(Milliseconds(5));
+    co_await Pause.async_wait(AsTuple);
+  }
+}
+
+awaitable<http::Response> FakeSite::serve(http::Request Asked, const Door &At) {
   http::Response Answer;
-  if (m_IsDown) {
+  co_await awaitOpen(At);
+  if (At.State != DoorState::Open) {
     Answer.Status = 503;
     co_return Answer;
   }
@@ -165,11 +194,13 @@
       Milliseconds(std::stoi(Asked.queryParameter("WaitMs").value_or("0")));
   json Told = changes(Kind, std::stoull(*Since));
   boost::asio::steady_timer Pause(m_Context);
-  while (Told["events"].empty() && monotonicNow() < Deadline && !m_IsDown) {
+  while (Told["events"].empty() && monotonicNow() < Deadline &&
+         At.State == DoorState::Open) {
     Pause.expires_after(Milliseconds(5));
     co_await Pause.async_wait(AsTuple);
     Told = changes(Kind, std::stoull(*Since));
   }
+  co_await awaitOpen(At);
   Answer.Body = Told.dump();
   co_return Answer;
 }
--- a/packages/gateway/test/gateway/FakeSite.h
+++ b/packages/gateway/test/gateway/FakeSite.h
@@ -25,12 +25,23 @@
   /// @brief What one replica got, and how it answers.
   struct Replica {
     std::string Id;
+    std::string Service;
     std::string Address;
     std::atomic<int> Arrivals = 0;
+    std::atomic<TimePoint> LastArrival = TimePoint();
     std::function<http::Response(const http::Request &)> Answer;
     std::unique_ptr<http::Listener> Listener;
   };
 
+  enum class DoorState { Open, Refusing, Silent };
+
+  /// @brief An address of the store for one VM, whose way to it can be harmed.
+  struct Door {
+    std::atomic<DoorState> State = DoorState::Open;
+    std::atomic<int> Calls = 0;
+    std::unique_ptr<http::Listener> Listener;
+  };
+
   FakeSite();
   FakeSite(const FakeSite &) = delete;
   FakeSite &operator=(const FakeSite &) = delete;
@@ -39,15 +50,21 @@
   /// @return Settings of a VM on this site, with ports that the system picks.
   [[nodiscard]] adapter::SiteSettings settings(const std::string &Vm) const;
 
+  /// @brief Adds an address of the store.
+  Door &addDoor();
   /// @brief Adds a replica and its entry.
   Replica &addReplica(const std::string &Service);
+  /// @brief Writes a replica's entry.
+  /// @param State As on the wire.
+  void putEntry(const Replica &Of, const char *State, int Sequence);
   /// @brief Writes an object, as its owner would.
   void put(const std::string &Kind, const std::string &Name,
            nlohmann::json Content);
   void remove(const std::string &Kind, const std::string &Name);
   /// @brief Writes a configuration with these routes.
   void putConfig(int Version, nlohmann::json Routes);
-  void setStoreDown(bool IsDown) { m_IsDown = IsDown; }
+  /// @brief The store answers nobody, or all again.
+  void setStoreDown(bool IsDown);
 
 private:
   struct Stored {
@@ -56,7 +73,10 @@
     bool IsDeleted = false;
   };
 
-  boost::asio::awaitable<http::Response> serve(http::Request Asked);
+  std::unique_ptr<http::Listener> listen(http::Handler Answer);
+  boost::asio::awaitable<http::Response> serve(http::Request Asked,
+                                               const Door &At);
+  boost::asio::awaitable<void> awaitOpen(const Door &At);
   [[nodiscard]] nlohmann::json list(const std::string &Kind);
   [[nodiscard]] nlohmann::json changes(const std::string &Kind,
                                        std::uint64_t Since);
@@ -67,8 +87,7 @@
   std::mutex m_Mutex;
   std::map<std::string, std::map<std::string, Stored>> m_Objects;
   std::uint64_t m_Revision = 1;
-  std::atomic<bool> m_IsDown = false;
-  std::unique_ptr<http::Listener> m_Store;
+  std::vector<std::unique_ptr<Door>> m_Doors;
   std::vector<std::unique_ptr<Replica>> m_Replicas;
   std::thread m_Thread;
 };
--- a/packages/gateway/test/gateway/app/GatewayTest.cpp
+++ b/packages/gateway/test/gateway/app/GatewayTest.cpp
@@ -82,17 +82,7 @@
   Site.putConfig(1, {makeSingle("/s/", "safe", "s0")});
   RunningGateway Gateway(Site.settings("vm1"));
   REQUIRE(Gateway.awaitReady());
-  SUBCASE("its entry says so") {
-    Site.put("servers", Leaving.Id,
-             {{"Service", "s0"},
-              {"Address", Leaving.Address},
-              {"Zone", "umea-a"},
-              {"Version", "v1"},
-              {"Slots", 2},
-              {"State", "draining"},
-              {"WarmupLeftMs", 0},
-              {"Sequence", 2}});
-  }
+  SUBCASE("its entry says so") { Site.putEntry(Leaving, "draining", 2); }
   SUBCASE("its entry is removed") { Site.remove("servers", Leaving.Id); }
   SUBCASE("its entry is overwritten by somebody else") {
     Site.put("servers", Leaving.Id, "forged");
