DRAIN: waits that follow from the settings' bounds; every VM knows how old its knowledge is

Cause: five waits on the way from the store to a VM, each a constant of its own; nobody had added them up, and none knew the bound that the settings name. A VM whose reader lost the store was told when its long poll ended. Change: FollowOptions::within derives the waits from the bounds for drains and configurations and from the replicas' heartbeat. A loss of the store ends the long polls at once. A whole list that is older than one's own is not taken.

--- a/packages/gateway/src/gateway/app/Gateway.cpp
+++ b/packages/gateway/src/gateway/app/Gateway.cpp
@@ -61,6 +61,12 @@
   return Options;
 }
 
+FollowOptions followOptions(const adapter::SiteSettings &Settings) {
+  Milliseconds Apply = std::min(Settings.DrainBound, Settings.ConfigBound);
+  return FollowOptions::within(
+      {.Apply = Apply, .Heartbeat = Settings.ReplicaHeartbeat});
+}
+
 ControlServerOptions serverOptions(const adapter::SiteSettings &Settings,
                                    Incarnation Life) {
   return {.ReadyAddress = Settings.ReadyAddress,
@@ -106,7 +112,7 @@
   EventLog m_Log{EventLogOptions{}};
   TrafficCounters m_Counters;
   LatencyBook m_Latencies;
-  FollowOptions m_Follow;
+  FollowOptions m_Follow = followOptions(m_Settings);
   asio::io_context m_ControlIo{1};
   asio::io_context m_TrafficIo{1};
   WorkGuard m_TrafficWork{m_TrafficIo.get_executor()};
@@ -140,14 +146,15 @@
             publish(std::move(View));
           }),
       m_Store(m_ControlIo.get_executor(), m_Settings.StoreAddress),
-      m_Role(m_State, m_Log, [this] { return describe(); }),
+      m_Role(
+          m_State, m_Log, [this] { return describe(); }, m_Follow.MaxAge),
       m_Config(m_ControlIo, m_Store, m_State, m_Health, m_Role, m_Follow,
-               ConfigSink(m_State), m_Follow.ConfigPause),
+               ConfigSink(m_State)),
       m_Replicas(m_ControlIo, m_Store, m_State, m_Health, m_Role, m_Follow,
-                 ReplicaSink(m_State, m_Log), m_Follow.ReplicaPause),
+                 ReplicaSink(m_State, m_Log)),
       m_Reader(m_ControlIo, m_State, m_Role, m_Follow),
-      m_Fetcher(m_ControlIo, m_State, m_Health, m_Log, m_Settings.PeerAddress,
-                m_Settings.Seeds),
+      m_Fetcher(m_ControlIo, m_State, m_Follow.MaxAge, m_Log,
+                m_Settings.PeerAddress, m_Settings.Seeds),
       m_Beats(
           m_ControlIo,
           {.Ip = m_Settings.Ip, .Port = m_Settings.FirstInternalPort}, m_State,
--- a/packages/gateway/src/gateway/control/FleetState.cpp
+++ b/packages/gateway/src/gateway/control/FleetState.cpp
@@ -146,7 +146,11 @@
   m_ConfigConfirmedAt = std::max(m_ConfigConfirmedAt, At);
 }
 
-void FleetState::onStoreLost() { m_Book.onStoreLost(); }
+void FleetState::onStoreLost() {
+  m_Book.onStoreLost();
+  // Lets those who follow this VM know.
+  m_Signal.notify();
+}
 
 void FleetState::onStoreAnswered() { m_Book.onStoreAnswered(monotonicNow()); }
 
--- a/packages/gateway/src/gateway/control/FleetState.h
+++ b/packages/gateway/src/gateway/control/FleetState.h
@@ -10,6 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -48,6 +49,10 @@
   [[nodiscard]] Milliseconds replicaAge() const;
   /// @return Like it, for the configuration.
   [[nodiscard]] Milliseconds configAge() const;
+  /// @return The greater one of the two.
+  [[nodiscard]] Milliseconds age() const {
+    return std::max(replicaAge(), configAge());
+  }
   [[nodiscard]] const ReplicaBook &replicas() const { return m_Book; }
   [[nodiscard]] const VmBoard &vms() const { return m_Vms; }
   /// @return How many views were published.
--- a/packages/gateway/src/gateway/control/ReaderFollower.cpp
+++ b/packages/gateway/src/gateway/control/ReaderFollower.cpp
@@ -33,7 +33,10 @@
       continue;
     }
     bool IsUseful = Answer.value().ReadsStore;
-    apply(std::move(Answer.value()));
+    if (isBehind(Answer.value()))
+      co_await m_Pause.wait(m_Options.RolePause);
+    else
+      apply(std::move(Answer.value()));
     if (!IsUseful)
       m_Role.onReaderFailed("it lost the store");
   }
@@ -62,6 +65,11 @@
   co_return std::move(*Read);
 }
 
+bool ReaderFollower::isBehind(const ChangesAnswer &Answer) const {
+  return Answer.IsWhole && m_State.hasReplicas() &&
+         Answer.ReplicaAge > m_State.replicaAge();
+}
+
 void ReaderFollower::apply(ChangesAnswer Answer) {
   m_Known.Life = Answer.Life;
   m_Known.Sequence = Answer.Sequence;
--- a/packages/gateway/src/gateway/control/ReaderFollower.h
+++ b/packages/gateway/src/gateway/control/ReaderFollower.h
@@ -25,6 +25,8 @@
 
 private:
   boost::asio::awaitable<Result<ChangesAnswer>> ask(std::string Address);
+  /// @return Whether the whole list that it holds is older than this VM's own.
+  [[nodiscard]] bool isBehind(const ChangesAnswer &Answer) const;
   void apply(ChangesAnswer Answer);
 
   boost::asio::io_context &m_Context;
--- a/packages/gateway/src/gateway/control/StoreFollower.cpp
+++ b/packages/gateway/src/gateway/control/StoreFollower.cpp
@@ -7,11 +7,9 @@
 StoreFollower::StoreFollower(boost::asio::io_context &Context,
                              adapter::StoreClient &Store, FleetState &State,
                              StoreHealth &Health, StoreRole &Role,
-                             const FollowOptions &Options, Sink Into,
-                             Milliseconds Pause)
+                             const FollowOptions &Options, Sink Into)
     : m_Store(Store), m_State(State), m_Health(Health), m_Role(Role),
-      m_Options(Options), m_Sink(std::move(Into)), m_AnswerPause(Pause),
-      m_Pause(Context, Options) {}
+      m_Options(Options), m_Sink(std::move(Into)), m_Pause(Context, Options) {}
 
 const char *StoreFollower::kind() const {
   return std::visit([](const auto &Into) { return Into.kind(); }, m_Sink);
@@ -30,7 +28,7 @@
     else
       Succeeded = co_await watch();
     if (Succeeded)
-      co_await m_Pause.wait(m_AnswerPause);
+      co_await m_Pause.wait(m_Options.AnswerPause);
     else
       co_await m_Pause.afterFailure();
   }
--- a/packages/gateway/src/gateway/control/StoreFollower.h
+++ b/packages/gateway/src/gateway/control/StoreFollower.h
@@ -24,10 +24,9 @@
 public:
   using Sink = std::variant<ConfigSink, ReplicaSink>;
 
-  /// @param Pause After each answer.
   StoreFollower(boost::asio::io_context &Context, adapter::StoreClient &Store,
                 FleetState &State, StoreHealth &Health, StoreRole &Role,
-                const FollowOptions &Options, Sink Into, Milliseconds Pause);
+                const FollowOptions &Options, Sink Into);
 
   /// @brief Follows for ever.
   boost::asio::awaitable<void> run();
@@ -47,7 +46,6 @@
   StoreRole &m_Role;
   FollowOptions m_Options;
   Sink m_Sink;
-  Milliseconds m_AnswerPause;
   RetryPause m_Pause;
   WatchCursor m_Cursor;
 };
--- a/packages/gateway/src/gateway/control/StoreRole.cpp
+++ b/packages/gateway/src/gateway/control/StoreRole.cpp
@@ -2,27 +2,46 @@
 
 namespace carawaypond::gateway {
 
-StoreRole::StoreRole(const FleetState &State, EventLog &Log, Describe Self)
-    : m_State(State), m_Log(Log), m_Self(std::move(Self)),
+StoreRole::StoreRole(const FleetState &State, EventLog &Log, Describe Self,
+                     Milliseconds MaxAge)
+    : m_State(State), m_Log(Log), m_Self(std::move(Self)), m_MaxAge(MaxAge),
       m_Choice(ReaderChoiceOptions{}, monotonicNow()) {}
 
 std::optional<VmRecord> StoreRole::reader() {
   TimePoint Now = monotonicNow();
   auto Chosen = m_Choice.reader(m_Self(), m_State.vms().heard(Now), Now);
   std::string Name = Chosen ? Chosen->Name.value() : "";
-  if (Name != m_Logged) {
-    LogLine Line("store_reader");
-    Line.add("reader", Name.empty() ? "self" : Name);
-    m_Log.write(Line);
-    m_Logged = Name;
-  }
+  if (Name != m_Logged)
+    onReaderChanged(Name, Now);
   return Chosen;
 }
 
+void StoreRole::onReaderChanged(const std::string &Name, TimePoint Now) {
+  LogLine Line("store_reader");
+  Line.add("reader", Name.empty() ? "self" : Name);
+  m_Log.write(Line);
+  bool ReadItself = !m_Logged || m_Logged->empty();
+  m_Logged = Name;
+  m_FollowsOldSince.reset();
+  if (ReadItself && m_State.age() > m_MaxAge)
+    m_FollowsOldSince = Now;
+}
+
+bool StoreRole::isOutdated(TimePoint Now) const {
+  bool IsOld = m_State.age() > m_MaxAge;
+  bool HadTime = !m_FollowsOldSince || Now - *m_FollowsOldSince > m_MaxAge;
+  return IsOld && HadTime;
+}
+
 bool StoreRole::readsStore() {
   TimePoint Now = monotonicNow();
   if (m_Choice.isTooEarly(m_State.vms().heard(Now), Now))
     return false;
+  if (!reader())
+    return true;
+  if (!isOutdated(Now))
+    return false;
+  onReaderFailed("what it tells is old");
   return !reader();
 }
 
--- a/packages/gateway/src/gateway/control/StoreRole.h
+++ b/packages/gateway/src/gateway/control/StoreRole.h
@@ -17,7 +17,9 @@
 public:
   using Describe = std::function<LoadedVm()>;
 
-  StoreRole(const FleetState &State, EventLog &Log, Describe Self);
+  /// @param MaxAge How old what this VM knows may be while it follows another.
+  StoreRole(const FleetState &State, EventLog &Log, Describe Self,
+            Milliseconds MaxAge);
 
   /// @return The VM to follow, if this VM is not to read itself.
   [[nodiscard]] std::optional<VmRecord> reader();
@@ -28,11 +30,18 @@
   void onReaderFailed(const std::string &Why);
 
 private:
+  void onReaderChanged(const std::string &Name, TimePoint Now);
+  /// @return Whether the VM that is followed does not keep this one up to date.
+  [[nodiscard]] bool isOutdated(TimePoint Now) const;
+
   const FleetState &m_State;
   EventLog &m_Log;
   Describe m_Self;
+  Milliseconds m_MaxAge;
   ReaderChoice m_Choice;
-  std::string m_Logged = "none"; ///< The reader that was logged last.
+  std::optional<std::string> m_Logged; ///< The reader that was logged last.
+  /// When it began to follow another VM with knowledge that was old already.
+  std::optional<TimePoint> m_FollowsOldSince;
 };
 
 } // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/peers/PeerFetcher.cpp
+++ b/packages/gateway/src/gateway/peers/PeerFetcher.cpp
@@ -28,9 +28,9 @@
 } // namespace
 
 PeerFetcher::PeerFetcher(boost::asio::io_context &Context, FleetState &State,
-                         const StoreHealth &Health, EventLog &Log,
+                         Milliseconds MaxAge, EventLog &Log,
                          std::string OwnAddress, std::vector<std::string> Seeds)
-    : m_Context(Context), m_State(State), m_Health(Health), m_Log(Log),
+    : m_Context(Context), m_State(State), m_MaxAge(MaxAge), m_Log(Log),
       m_OwnAddress(std::move(OwnAddress)), m_Seeds(std::move(Seeds)) {}
 
 std::vector<std::string> PeerFetcher::addresses() const {
@@ -65,7 +65,8 @@
   else if (!m_BehindSince)
     m_BehindSince = Now;
   bool IsBehind = m_BehindSince && Now - *m_BehindSince >= BehindPatience;
-  bool IsCutOff = m_Health.isLost() && (HasNewerConfig || HasNewerReplicas);
+  bool IsCutOff =
+      m_State.age() > m_MaxAge && (HasNewerConfig || HasNewerReplicas);
   if (m_IsFetching || !(IsBehind || IsCutOff))
     return;
   boost::asio::co_spawn(m_Context, fetch(Heard.Vm.Record.PeerAddress),
@@ -103,7 +104,7 @@
   if (!State->Config.is_null())
     m_State.applyConfig(State->Config, "peer");
   bool IsNewer = State->ReplicaRevision > m_State.replicaRevision();
-  if (IsNewer && (m_Health.isLost() || !m_State.isReady()))
+  if (IsNewer && (m_State.age() > m_MaxAge || !m_State.isReady()))
     m_State.replaceReplicas(std::move(State->Replicas), State->ReplicaRevision,
                             "peer");
   m_State.publish();
--- a/packages/gateway/src/gateway/peers/PeerFetcher.h
+++ b/packages/gateway/src/gateway/peers/PeerFetcher.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "gateway/control/FleetState.h"
-#include "gateway/control/StoreHealth.h"
 #include "gateway/peers/Beat.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -22,8 +21,9 @@
   /// Where VMs answer each other.
   static constexpr const char *Path = "/v1/state";
 
+  /// @param MaxAge How old what this VM knows may be before it asks others.
   PeerFetcher(boost::asio::io_context &Context, FleetState &State,
-              const StoreHealth &Health, EventLog &Log, std::string OwnAddress,
+              Milliseconds MaxAge, EventLog &Log, std::string OwnAddress,
               std::vector<std::string> Seeds);
 
   /// @brief Asks seeds, then known VMs, until this VM is ready.
@@ -37,7 +37,7 @@
 
   boost::asio::io_context &m_Context;
   FleetState &m_State;
-  const StoreHealth &m_Health;
+  Milliseconds m_MaxAge;
   EventLog &m_Log;
   std::string m_OwnAddress;
   std::vector<std::string> m_Seeds;
--- a/packages/gateway/test/gateway/FakeSite.cpp
+++ b/packages/gateway/test/gateway/FakeSite.cpp
@@ -41,6 +41,9 @@
   Settings.StoreAddress = m_Doors.front()->Listener->address();
   Settings.MaxDescriptors = 1'000;
   Settings.GracePeriod = Milliseconds(6'000);
+  Settings.ReplicaHeartbeat = Milliseconds(1'200);
+  Settings.DrainBound = Milliseconds(3'000);
+  Settings.ConfigBound = Milliseconds(3'000);
   Settings.MaxAddressLifetime = Milliseconds(5'000);
   Settings.Budget = {.Ratio = 0.2, .Slack = 56};
   return Settings;
