DRAIN: an outage of the store is dated by evidence, not by this VM's next call

Cause: a VM whose own call failed held the store for lost until its own next call succeeded. A VM that then followed another one made none. When it took over, seconds or minutes later, it dated the outage's end to that moment and went on using entries that the fresh list lacked for another 2.6 s, although no entry could have lapsed. Class: a belief about a dependency that only one role refreshes, kept across a change of roles and dated by when this process next looked. Change: the book keeps when the store last answered anyone (this VM, or the one that it follows, less the age of what it tells). A silence longer than two heartbeats is an outage, whose end is the next answer; entries missing within the allowance after it are believed, others are not. The flag that failed calls set is gone.

--- a/packages/coordination/src/coordination/replicas/ReplicaBook.cpp
+++ b/packages/coordination/src/coordination/replicas/ReplicaBook.cpp
@@ -13,11 +13,12 @@
   return Next;
 }
 
+bool ReplicaBook::isStoreAway(TimePoint Now) const {
+  return m_AnsweredAt && Now - *m_AnsweredAt > m_Options.LapseTime;
+}
+
 bool ReplicaBook::isDoubted(TimePoint Now) const {
-  if (m_IsStoreLost)
-    return true;
-  return m_StoreReturnedAt &&
-         Now < *m_StoreReturnedAt + m_Options.ReturnAllowance;
+  return isStoreAway(Now) || Now < m_DoubtedUntil;
 }
 
 bool ReplicaBook::put(ReplicaRecord Record) {
@@ -44,9 +45,8 @@
     return false;
   if (!isDoubted(Now))
     return m_Missing.erase(Id), m_Entries.erase(Id) > 0;
-  TimePoint Returned = m_StoreReturnedAt.value_or(Now);
-  TimePoint Known = m_IsStoreLost ? Now : Returned;
-  m_Missing.try_emplace(Id, Known + m_Options.ReturnAllowance);
+  TimePoint Until = Now + m_Options.ReturnAllowance;
+  m_Missing.try_emplace(Id, isStoreAway(Now) ? Until : m_DoubtedUntil);
   return false;
 }
 
@@ -88,19 +88,19 @@
   return adopt(std::move(Used), Gone);
 }
 
-void ReplicaBook::onStoreLost() { m_IsStoreLost = true; }
-
-void ReplicaBook::onStoreAnswered(TimePoint Now) {
-  if (!m_IsStoreLost)
+void ReplicaBook::onStoreAnswered(TimePoint At) {
+  if (m_AnsweredAt && At <= *m_AnsweredAt)
     return;
-  m_IsStoreLost = false;
-  m_StoreReturnedAt = Now;
-  for (auto &[Id, Until] : m_Missing)
-    Until = Now + m_Options.ReturnAllowance;
+  if (isStoreAway(At)) {
+    m_DoubtedUntil = At + m_Options.ReturnAllowance;
+    for (auto &[Id, Until] : m_Missing)
+      Until = m_DoubtedUntil;
+  }
+  m_AnsweredAt = At;
 }
 
 bool ReplicaBook::expire(TimePoint Now) {
-  if (m_IsStoreLost)
+  if (isStoreAway(Now))
     return false;
   auto Before = m_Entries.size();
   for (auto Each = m_Missing.begin(); Each != m_Missing.end();) {
--- a/packages/coordination/src/coordination/replicas/ReplicaBook.h
+++ b/packages/coordination/src/coordination/replicas/ReplicaBook.h
@@ -14,13 +14,18 @@
   /// How long after the store's return an entry may still be missing although
   /// its replica lives.
   Milliseconds ReturnAllowance{2'600};
+  /// How long the store must be away before an entry can lapse.
+  Milliseconds LapseTime{2'400};
 };
 
 /// @brief Which replicas to use, from the entries that the store holds.
 ///
 /// Answers outages of the store: entries lapse while replicas cannot renew
 /// them, so an entry that went missing around an outage is believed until
-/// the allowance after the store's return has passed.
+/// the allowance after the store's return has passed. What counts as an outage
+/// is the time between two moments at which the store is known to have answered
+/// anyone: this VM, or the VM that it follows. A VM's own failed calls prove
+/// nothing about the store.
 class ReplicaBook {
 public:
   using Entries = std::map<ServerName, ReplicaRecord>;
@@ -51,14 +56,14 @@
              const std::vector<ServerName> &Gone);
   /// @brief Takes all entries that another VM uses.
   bool adoptAll(std::vector<ReplicaRecord> Used);
-  /// @brief Takes a failed call to the store.
-  void onStoreLost();
-  /// @brief Takes a successful call to the store.
-  void onStoreAnswered(TimePoint Now);
+  /// @brief The store answered at @p At, this VM or one that it follows.
+  void onStoreAnswered(TimePoint At);
   /// @brief Drops entries whose allowance has passed.
   bool expire(TimePoint Now);
 
 private:
+  /// @return Whether entries may have lapsed since the store last answered.
+  [[nodiscard]] bool isStoreAway(TimePoint Now) const;
   [[nodiscard]] bool isDoubted(TimePoint Now) const;
   /// @return Entries that @p Listed lacks.
   [[nodiscard]] std::vector<ServerName>
@@ -67,8 +72,8 @@
   ReplicaBookOptions m_Options;
   Entries m_Entries;
   std::map<ServerName, TimePoint> m_Missing; ///< Until when still believed.
-  bool m_IsStoreLost = false;
-  std::optional<TimePoint> m_StoreReturnedAt;
+  std::optional<TimePoint> m_AnsweredAt;     ///< When the store last answered.
+  TimePoint m_DoubtedUntil = TimePoint::min();
 };
 
 } // namespace carawaypond
--- a/packages/gateway/src/gateway/app/Gateway.cpp
+++ b/packages/gateway/src/gateway/app/Gateway.cpp
@@ -34,6 +34,9 @@
 using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
 
 constexpr Milliseconds TickInterval{100};
+/// An entry lapses after three heartbeats of silence, the first of which may
+/// have passed when the store goes.
+constexpr int HeartbeatsToLapse = 2;
 /// How long callers keep an answer of the directory.
 constexpr Milliseconds AddressLifetime{2'000};
 /// How long other VMs may still name this one after it began to leave.
@@ -67,6 +70,10 @@
       {.Apply = Apply, .Heartbeat = Settings.ReplicaHeartbeat});
 }
 
+ReplicaBookOptions doubts(const adapter::SiteSettings &Settings) {
+  return {.LapseTime = Settings.ReplicaHeartbeat * HeartbeatsToLapse};
+}
+
 ControlServerOptions serverOptions(const adapter::SiteSettings &Settings,
                                    Incarnation Life) {
   return {.ReadyAddress = Settings.ReadyAddress,
@@ -141,7 +148,7 @@
       m_Callers(m_TrafficIo, trafficOptions(m_Settings), m_Counters,
                 m_Latencies, m_Log),
       m_State(
-          m_Settings.Vm, m_Log, [this] { return load(); },
+          m_Settings.Vm, doubts(m_Settings), m_Log, [this] { return load(); },
           [this](std::shared_ptr<const TrafficView> View) {
             publish(std::move(View));
           }),
--- a/packages/gateway/src/gateway/control/FleetState.cpp
+++ b/packages/gateway/src/gateway/control/FleetState.cpp
@@ -18,9 +18,9 @@
 
 } // namespace
 
-FleetState::FleetState(VmName Self, EventLog &Log, OwnLoad Load,
-                       Publish OnChange)
-    : m_Log(Log), m_OnChange(std::move(OnChange)),
+FleetState::FleetState(VmName Self, ReplicaBookOptions Doubts, EventLog &Log,
+                       OwnLoad Load, Publish OnChange)
+    : m_Log(Log), m_OnChange(std::move(OnChange)), m_Book(Doubts),
       m_Vms(std::move(Self), VmBoardOptions{}), m_OwnLoad(std::move(Load)) {}
 
 std::uint64_t FleetState::configVersion() const {
@@ -146,13 +146,7 @@
   m_ConfigConfirmedAt = std::max(m_ConfigConfirmedAt, At);
 }
 
-void FleetState::onStoreLost() {
-  m_Book.onStoreLost();
-  // Lets those who follow this VM know.
-  m_Signal.notify();
-}
-
-void FleetState::onStoreAnswered() { m_Book.onStoreAnswered(monotonicNow()); }
+void FleetState::onStoreAnswered(TimePoint At) { m_Book.onStoreAnswered(At); }
 
 bool FleetState::onBeat(const LoadedVm &Vm) {
   return m_Vms.onBeat(Vm, monotonicNow());
--- a/packages/gateway/src/gateway/control/FleetState.h
+++ b/packages/gateway/src/gateway/control/FleetState.h
@@ -30,7 +30,9 @@
 
   /// @param Load Gives this VM's load.
   /// @param OnChange Gets a new view whenever traffic has to know.
-  FleetState(VmName Self, EventLog &Log, OwnLoad Load, Publish OnChange);
+  /// @param Doubts How long missing entries are still believed.
+  FleetState(VmName Self, ReplicaBookOptions Doubts, EventLog &Log,
+             OwnLoad Load, Publish OnChange);
 
   [[nodiscard]] const std::shared_ptr<const RoutingTable> &table() const {
     return m_Table;
@@ -76,8 +78,10 @@
   void confirmReplicas(TimePoint At);
   /// @brief The configuration was as known here in the store at @p At.
   void confirmConfig(TimePoint At);
-  void onStoreLost();
-  void onStoreAnswered();
+  /// @brief The store answered at @p At, this VM or one that it follows.
+  void onStoreAnswered(TimePoint At);
+  /// @brief Lets those who follow this VM know that it lost the store.
+  void onStoreLost() { m_Signal.notify(); }
   /// @brief Takes a heartbeat.
   /// @return Whether its sender is new.
   bool onBeat(const LoadedVm &Vm);
@@ -108,7 +112,7 @@
   Publish m_OnChange;
   std::shared_ptr<const RoutingTable> m_Table;
   nlohmann::json m_ConfigDocument;
-  ReplicaBook m_Book{ReplicaBookOptions{}};
+  ReplicaBook m_Book;
   std::uint64_t m_ReplicaRevision = 0;
   TimePoint m_ReplicasConfirmedAt = monotonicNow();
   TimePoint m_ConfigConfirmedAt = monotonicNow();
--- a/packages/gateway/src/gateway/control/ReaderFollower.cpp
+++ b/packages/gateway/src/gateway/control/ReaderFollower.cpp
@@ -87,6 +87,7 @@
   TimePoint Now = monotonicNow();
   m_State.confirmReplicas(Now - Answer.ReplicaAge);
   m_State.confirmConfig(Now - Answer.ConfigAge);
+  m_State.onStoreAnswered(Now - Answer.ReplicaAge);
 }
 
 } // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/control/StoreFollower.cpp
+++ b/packages/gateway/src/gateway/control/StoreFollower.cpp
@@ -43,8 +43,8 @@
 
 void StoreFollower::onAnswered() {
   m_Pause.reset();
-  if (m_Health.onAnswered(monotonicNow()))
-    m_State.onStoreAnswered();
+  m_Health.onAnswered(monotonicNow());
+  m_State.onStoreAnswered(monotonicNow());
 }
 
 void StoreFollower::confirm(TimePoint At) {
--- a/packages/gateway/src/gateway/control/StoreHealth.cpp
+++ b/packages/gateway/src/gateway/control/StoreHealth.cpp
@@ -2,15 +2,14 @@
 
 namespace carawaypond::gateway {
 
-bool StoreHealth::onAnswered(TimePoint Now) {
+void StoreHealth::onAnswered(TimePoint Now) {
   if (!m_LostSince)
-    return false;
+    return;
   auto Lost = std::chrono::duration_cast<Milliseconds>(Now - *m_LostSince);
   LogLine Line("store_regained");
   Line.add("lost_ms", Lost.count());
   m_Log.write(Line);
   m_LostSince.reset();
-  return true;
 }
 
 bool StoreHealth::onFailed(const Error &Why, TimePoint Now) {
--- a/packages/gateway/src/gateway/control/StoreHealth.h
+++ b/packages/gateway/src/gateway/control/StoreHealth.h
@@ -8,16 +8,15 @@
 
 namespace carawaypond::gateway {
 
-/// @brief Whether the platform's store answers this VM, with a log line for
-/// each change.
+/// @brief Whether the platform's store answered this VM's last call, with a log
+/// line for each change. Says nothing of the store while this VM does not call.
 class StoreHealth {
 public:
   explicit StoreHealth(EventLog &Log) : m_Log(Log) {}
 
   [[nodiscard]] bool isLost() const { return m_LostSince.has_value(); }
 
-  /// @return Whether it had been lost.
-  bool onAnswered(TimePoint Now);
+  void onAnswered(TimePoint Now);
   /// @return Whether it is lost now and was not before.
   bool onFailed(const Error &Why, TimePoint Now);
 
