DRAIN: requests that wait for a connection are given back when their replica leaves

Cause: a pool sends what waits as soon as a connection is free or made, and lives as long as a request holds it; nothing told it that its replica leaves. Change: a leaving, gone or moved replica's pool gives back what waits and what is still connecting, as not sent, so that the request goes elsewhere; what the replica works on goes on. A replica that serves again gets a new pool.

--- a/packages/gateway/src/gateway/pool/ReplicaConnection.h
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.h
@@ -31,9 +31,15 @@
   /// closes the connection at the same moment.
   [[nodiscard]] bool isReusable(bool IsIdempotent, TimePoint Now);
   [[nodiscard]] bool isBusy() const { return m_Current.has_value(); }
+  /// @return Whether nothing of its request was sent yet.
+  [[nodiscard]] bool isConnecting() const {
+    return m_Current && !m_IsConnected;
+  }
 
   /// @brief Sends a request, after connecting if need be.
   void start(Exchange Request);
+  /// @brief Closes at once; its request ends as one that was not sent.
+  void giveBack(const std::string &Why) { fail(false, Why); }
   /// @brief Closes at once; the current request's Done is not called.
   void cancel();
 
--- a/packages/gateway/src/gateway/pool/ReplicaPool.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaPool.cpp
@@ -1,9 +1,18 @@
 #include "gateway/pool/ReplicaPool.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
+#include <utility>
 
 namespace carawaypond::gateway {
 
+namespace {
+
+constexpr const char *Retired = "the replica leaves";
+
+} // namespace
+
 ReplicaPool::ReplicaPool(boost::asio::io_context &Context,
                          boost::asio::ip::tcp::endpoint Remote,
                          PoolOptions Options)
@@ -38,13 +47,38 @@
 
 ReplicaPool::Ticket ReplicaPool::send(Exchange Request) {
   Ticket Id = m_NextTicket++;
-  if (auto Free = acquire(Request.IsIdempotent))
+  auto Free = m_IsRetired ? nullptr : acquire(Request.IsIdempotent);
+  if (Free)
     start(Free, Id, std::move(Request));
   else
     m_Waiting.push_back({.Id = Id, .Request = std::move(Request)});
+  if (m_IsRetired)
+    retire();
   return Id;
 }
 
+void ReplicaPool::retire() {
+  m_IsRetired = true;
+  // Whoever gets a request back may send it elsewhere at once.
+  boost::asio::post(m_Context, [this, IsAlive = m_IsAlive] {
+    if (*IsAlive)
+      giveBackUnsent();
+  });
+}
+
+void ReplicaPool::giveBackUnsent() {
+  std::vector<std::shared_ptr<ReplicaConnection>> Connecting;
+  for (const Slot &Each : m_Open)
+    if (Each.Connection->isConnecting())
+      Connecting.push_back(Each.Connection);
+  std::deque<Waiting> Unsent = std::exchange(m_Waiting, {});
+  for (Waiting &Each : Unsent)
+    Each.Request.Done(ExchangeFailure{.WasSent = false, .Why = Retired});
+  for (const auto &Each : Connecting)
+    if (Each->isConnecting())
+      Each->giveBack(Retired);
+}
+
 void ReplicaPool::start(const std::shared_ptr<ReplicaConnection> &On, Ticket Id,
                         Exchange Request) {
   for (Slot &Each : m_Open)
@@ -72,7 +106,7 @@
 }
 
 void ReplicaPool::startWaiting() {
-  while (!m_Waiting.empty()) {
+  while (!m_Waiting.empty() && !m_IsRetired) {
     auto Free = acquire(m_Waiting.front().Request.IsIdempotent);
     if (!Free)
       return;
--- a/packages/gateway/src/gateway/pool/ReplicaPool.h
+++ b/packages/gateway/src/gateway/pool/ReplicaPool.h
@@ -40,6 +40,10 @@
   /// @brief Gives up a request; its Done is not called.
   /// @return Whether it had been sent, so that it may run.
   bool cancel(Ticket Which);
+  /// @brief The replica leaves or is gone: requests of which nothing was sent
+  /// are given back, those that it works on go on.
+  void retire();
+  [[nodiscard]] bool isRetired() const { return m_IsRetired; }
   /// @brief Closes connections that have been idle too long.
   void closeStale(TimePoint Now);
 
@@ -58,6 +62,8 @@
              Exchange Request);
   void onDone(Ticket Id);
   void startWaiting();
+  /// @brief Gives back what has not been sent.
+  void giveBackUnsent();
 
   boost::asio::io_context &m_Context;
   boost::asio::ip::tcp::endpoint m_Remote;
@@ -67,6 +73,7 @@
   std::deque<Waiting> m_Waiting;
   Ticket m_NextTicket = 1;
   std::uint64_t m_Opened = 0;
+  bool m_IsRetired = false;
   /// Lets callbacks notice that the pool is gone.
   std::shared_ptr<bool> m_IsAlive = std::make_shared<bool>(true);
 };
--- a/packages/gateway/src/gateway/traffic/ReplicaLinks.cpp
+++ b/packages/gateway/src/gateway/traffic/ReplicaLinks.cpp
@@ -32,8 +32,12 @@
   for (const ReplicaRecord &Each : View.Replicas) {
     Present.insert(Each.Id);
     Link &Known = m_Links[Each.Id];
+    bool IsLeaving = Each.State == ReplicaState::Leaving;
+    if (Known.Address != Each.Address || IsLeaving)
+      retire(Known);
     auto Remote = http::parseEndpoint(Each.Address);
-    if (Known.Address != Each.Address && Remote) {
+    bool NeedsPool = !Known.Pool || Known.Pool->isRetired();
+    if (NeedsPool && !IsLeaving && Remote) {
       Known.Address = Each.Address;
       Known.Pool =
           std::make_shared<ReplicaPool>(m_Context, Remote.value(), m_Options);
@@ -42,8 +46,17 @@
       Known.Pool->setLimit(connectionLimit(
           View.Table->limits(Each.Service).MaxConnections, View.Share));
   }
-  std::erase_if(
-      m_Links, [&](const auto &Each) { return !Present.contains(Each.first); });
+  std::erase_if(m_Links, [&](const auto &Each) {
+    bool IsGone = !Present.contains(Each.first);
+    if (IsGone)
+      retire(Each.second);
+    return IsGone;
+  });
+}
+
+void ReplicaLinks::retire(const Link &Left) {
+  if (Left.Pool && !Left.Pool->isRetired())
+    Left.Pool->retire();
 }
 
 void ReplicaLinks::closeStale(TimePoint Now) {
--- a/packages/gateway/src/gateway/traffic/ReplicaLinks.h
+++ b/packages/gateway/src/gateway/traffic/ReplicaLinks.h
@@ -32,6 +32,8 @@
     std::shared_ptr<ReplicaPool> Pool;
   };
 
+  static void retire(const Link &Left);
+
   boost::asio::io_context &m_Context;
   PoolOptions m_Options;
   std::unordered_map<ServerName, Link> m_Links;
