--- a/packages/coordination/src/coordination/placement/ReplicaGauge.cpp
+++ b/packages/coordination/src/coordination/placement/ReplicaGauge.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 ReplicaGauge::ReplicaGauge(ReplicaRecord Record, TimePoint Now)
-    : m_Record(std::move(Record)), m_KnownSince(Now), m_LastAnswer(Now),
+    : m_Record(std::move(Record)), m_WarmupKnownAt(Now), m_LastAnswer(Now),
       m_SlownessAt(Now), m_RefusedUntil(Now), m_MisplacedUntil(Now) {}
 
 bool ReplicaGauge::isUsable(TimePoint Now) const {
@@ -57,7 +57,7 @@
   double Slots = std::max(1U, m_Record.Slots);
   double Queued = static_cast<double>(m_Pending.size()) / Slots;
   double Cost = slowness(Options, Now) * (1 + Queued);
-  if (Now < m_KnownSince + m_Record.WarmupLeft)
+  if (Now < m_WarmupKnownAt + m_Record.WarmupLeft)
     Cost *= Options.WarmupFactor;
   if (m_Record.Centre != Options.Centre)
     Cost += Options.OtherCentreCost;
@@ -100,8 +100,11 @@
     m_RefusalSeries = 0;
     m_RefusedUntil = Now;
   }
+  bool IsWarmedAnew = Record.StartedAt != m_Record.StartedAt ||
+                      Record.WarmupLeft != m_Record.WarmupLeft;
+  if (IsWarmedAnew)
+    m_WarmupKnownAt = Now;
   m_Record = std::move(Record);
-  m_KnownSince = Now;
 }
 
 void ReplicaGauge::onSent(SubrequestId Id, Duration Expected, TimePoint Now) {
--- a/packages/coordination/src/coordination/placement/ReplicaGauge.h
+++ b/packages/coordination/src/coordination/placement/ReplicaGauge.h
@@ -64,7 +64,7 @@
   void learnRefusal(const PlacementOptions &Options, TimePoint Now);
 
   ReplicaRecord m_Record;
-  TimePoint m_KnownSince;
+  TimePoint m_WarmupKnownAt; ///< When the record's warm-up was told.
   std::vector<Pending> m_Pending;
   TimePoint m_LastAnswer;
   double m_Slowness = 1;
--- a/packages/coordination/test/coordination/placement/ReplicaGaugeTest.cpp
+++ b/packages/coordination/test/coordination/placement/ReplicaGaugeTest.cpp
@@ -129,3 +129,14 @@
     Gauge.onSent(SubrequestId(I), Normal, Start);
   CHECK(Gauge.expectedWait(Normal, Options, Start) == Normal * 2);
 }
+
+TEST_CASE("a warm-up runs off although the same entry is taken again and "
+          "again") {
+  ReplicaRecord Record = makeRecord("a");
+  Record.WarmupLeft = Milliseconds(3'000);
+  ReplicaGauge Gauge(Record, Start);
+  double Warming = Gauge.cost(Options, Start);
+  for (int I = 1; I <= 8; ++I)
+    Gauge.update(Record, Start + I * Milliseconds(500));
+  CHECK(Gauge.cost(Options, Start + Milliseconds(4'000)) < Warming);
+}
