Answers of replicas without end are closed before they take a VM's memory

Callers saw nothing; a VM of 128 MB held up to 67.6 MB of one such answer in a body without a length, 65.4 MB in chunks and 61.1 MB in a chunk's extension, before it closed, and the process would have been killed by three of them. Heads held already (64 KiB); interim answers had no bound but the deadline. Change: answers are read piece by piece; what all of them hold beyond 64 KiB each stays within a quarter of the VM's memory, one within a quarter of that; the buffer for what can't be parsed yet is bounded; interim answers count like answers to others. A small answer always has room, so that nobody else's request is touched. Not bounded: whole answers that wait in a request for the other shards' ones.

--- a/packages/gateway/src/gateway/app/Gateway.cpp
+++ b/packages/gateway/src/gateway/app/Gateway.cpp
@@ -34,6 +34,9 @@
 using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
 
 constexpr Milliseconds TickInterval{100};
+/// Answers that are being read may take this part of the memory together, and
+/// one of them this part of it again.
+constexpr std::size_t ReplyMemoryParts = 4;
 /// An entry lapses after three heartbeats of silence, the first of which may
 /// have passed when the store goes.
 constexpr int HeartbeatsToLapse = 2;
@@ -59,6 +62,8 @@
   Options.MaxCallers = Settings.MaxDescriptors > 2 * ReservedDescriptors
                            ? Settings.MaxDescriptors - ReservedDescriptors
                            : Settings.MaxDescriptors / 2;
+  Options.Pool.MaxReplyMemory = Settings.MemoryBytes / ReplyMemoryParts;
+  Options.Pool.MaxBodyBytes = Options.Pool.MaxReplyMemory / ReplyMemoryParts;
   Options.Placement.Centre = Settings.Centre;
   Options.Placement.Budget = Settings.Budget;
   return Options;
--- a/packages/gateway/src/gateway/pool/PoolOptions.h
+++ b/packages/gateway/src/gateway/pool/PoolOptions.h
@@ -17,6 +17,9 @@
   Milliseconds StrictIdleMargin{700};
   std::size_t MaxHeaderBytes = std::size_t{64} << 10;
   std::size_t MaxBodyBytes = std::size_t{64} << 20;
+  /// What answers that are being read may take together, beside the first bytes
+  /// of each.
+  std::size_t MaxReplyMemory = std::size_t{64} << 20;
 };
 
 } // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
@@ -19,9 +19,12 @@
 
 namespace {
 
-/// Answers to other requests that may precede the one that is waited for.
+/// Interim answers, and answers to other requests, that may precede the one
+/// that is waited for.
 constexpr unsigned MaxSkipped = 3;
 constexpr unsigned FirstFinalStatus = 200;
+/// Size of the buffer for what can't be parsed yet, in greatest headers.
+constexpr std::size_t BuffersPerHeader = 2;
 
 /// @return Whether the socket has nothing to read, not even its end.
 bool isQuiet(int Socket) {
@@ -34,9 +37,11 @@
 
 ReplicaConnection::ReplicaConnection(boost::asio::io_context &Context,
                                      tcp::endpoint Remote,
-                                     const PoolOptions &Options)
+                                     const PoolOptions &Options,
+                                     std::shared_ptr<ReplyMemory> Memory)
     : m_Socket(Context), m_ConnectTimer(Context), m_Remote(std::move(Remote)),
-      m_Options(Options) {}
+      m_Options(Options), m_Buffer(BuffersPerHeader * Options.MaxHeaderBytes),
+      m_Share(std::move(Memory)) {}
 
 bool ReplicaConnection::isReusable(bool IsIdempotent, TimePoint Now) {
   if (!m_MayReuse || !m_IsConnected || m_Current)
@@ -100,36 +105,50 @@
                              if (Failed && Bytes == 0)
                                return Self->fail(false, Failed.message());
                            });
-  read();
+  beginAnswer();
 }
 
-void ReplicaConnection::read() {
+void ReplicaConnection::beginAnswer() {
   m_Parser.emplace();
+  m_Parser->eager(true);
   m_Parser->skip(m_Current->IsHead);
   m_Parser->header_limit(static_cast<std::uint32_t>(m_Options.MaxHeaderBytes));
   m_Parser->body_limit(m_Options.MaxBodyBytes);
-  beast_http::async_read(m_Socket, m_Buffer, *m_Parser,
-                         [Self = shared_from_this(),
-                          Serial = m_Serial](error_code Failed, std::size_t) {
-                           if (Self->m_Current && Self->m_Serial == Serial)
-                             Self->onRead(Failed);
-                         });
+  read();
+}
+
+void ReplicaConnection::read() {
+  beast_http::async_read_some(m_Socket, m_Buffer, *m_Parser,
+                              [Self = shared_from_this(), Serial = m_Serial](
+                                  error_code Failed, std::size_t) {
+                                if (Self->m_Current && Self->m_Serial == Serial)
+                                  Self->onRead(Failed);
+                              });
 }
 
 void ReplicaConnection::onRead(error_code Failed) {
   if (Failed)
     return fail(true, Failed.message());
-  if (m_Parser->get().result_int() < FirstFinalStatus)
-    return read();
+  if (m_Parser->is_done())
+    return onAnswer();
+  std::size_t Held = m_Buffer.size() + m_Parser->get().body().size();
+  if (!m_Share.tryGrow(Held))
+    return fail(true, "no memory for an answer of this size");
+  read();
+}
+
+void ReplicaConnection::onAnswer() {
+  m_Share.reset();
+  bool IsInterim = m_Parser->get().result_int() < FirstFinalStatus;
   adapter::ReplicaReply Reply = adapter::decodeReply(m_Parser->release());
   bool IsOther =
       !Reply.RequestId.empty() && Reply.RequestId != m_Current->RequestId;
-  if (!IsOther)
+  if (!IsInterim && !IsOther)
     return succeed(std::move(Reply));
-  m_MayReuse = false;
-  if (++m_Skipped > MaxSkipped || !Reply.KeepsAlive)
-    return fail(true, "answers to other requests");
-  read();
+  m_MayReuse = m_MayReuse && IsInterim;
+  if (++m_Skipped > MaxSkipped || (IsOther && !Reply.KeepsAlive))
+    return fail(true, "answers to other requests, or none that is final");
+  beginAnswer();
 }
 
 void ReplicaConnection::succeed(adapter::ReplicaReply Reply) {
@@ -157,6 +176,7 @@
 }
 
 void ReplicaConnection::close() {
+  m_Share.reset();
   m_MayReuse = false;
   m_IsConnected = false;
   m_ConnectTimer.cancel();
--- a/packages/gateway/src/gateway/pool/ReplicaConnection.h
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.h
@@ -4,6 +4,7 @@
 #include "core/time/Time.h"
 #include "gateway/pool/Exchange.h"
 #include "gateway/pool/PoolOptions.h"
+#include "gateway/pool/ReplyShare.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -24,7 +25,8 @@
 public:
   ReplicaConnection(boost::asio::io_context &Context,
                     boost::asio::ip::tcp::endpoint Remote,
-                    const PoolOptions &Options);
+                    const PoolOptions &Options,
+                    std::shared_ptr<ReplyMemory> Memory);
 
   /// @return Whether another request may be sent on it.
   /// @param IsIdempotent Whether that request may be repeated if the replica
@@ -49,8 +51,10 @@
 
   void connect();
   void write();
+  void beginAnswer();
   void read();
   void onRead(boost::system::error_code Failed);
+  void onAnswer();
   void fail(bool WasSent, const std::string &Why);
   void succeed(adapter::ReplicaReply Reply);
   void close();
@@ -61,9 +65,10 @@
   PoolOptions m_Options;
   boost::beast::flat_buffer m_Buffer;
   std::optional<Parser> m_Parser;
+  ReplyShare m_Share; ///< Of the answer that is being read.
   std::optional<Exchange> m_Current;
   std::uint64_t m_Serial = 0; ///< Of the current request; tells late events.
-  unsigned m_Skipped = 0;     ///< Answers to other requests.
+  unsigned m_Skipped = 0;     ///< Interim answers and answers to others.
   bool m_IsConnected = false;
   bool m_IsWritten = false;
   bool m_MayReuse = true;
--- a/packages/gateway/src/gateway/pool/ReplicaPool.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaPool.cpp
@@ -15,8 +15,10 @@
 
 ReplicaPool::ReplicaPool(boost::asio::io_context &Context,
                          boost::asio::ip::tcp::endpoint Remote,
-                         PoolOptions Options)
-    : m_Context(Context), m_Remote(std::move(Remote)), m_Options(Options) {}
+                         PoolOptions Options,
+                         std::shared_ptr<ReplyMemory> Memory)
+    : m_Context(Context), m_Remote(std::move(Remote)), m_Options(Options),
+      m_Memory(std::move(Memory)) {}
 
 ReplicaPool::~ReplicaPool() {
   *m_IsAlive = false;
@@ -38,8 +40,8 @@
   }
   if (m_Open.size() >= m_Limit)
     return nullptr;
-  auto Made =
-      std::make_shared<ReplicaConnection>(m_Context, m_Remote, m_Options);
+  auto Made = std::make_shared<ReplicaConnection>(m_Context, m_Remote,
+                                                  m_Options, m_Memory);
   m_Open.push_back({.Connection = Made});
   ++m_Opened;
   return Made;
--- a/packages/gateway/src/gateway/pool/ReplicaPool.h
+++ b/packages/gateway/src/gateway/pool/ReplicaPool.h
@@ -21,7 +21,8 @@
   using Ticket = std::uint64_t; ///< Names a request; unique in the pool.
 
   ReplicaPool(boost::asio::io_context &Context,
-              boost::asio::ip::tcp::endpoint Remote, PoolOptions Options);
+              boost::asio::ip::tcp::endpoint Remote, PoolOptions Options,
+              std::shared_ptr<ReplyMemory> Memory);
   ReplicaPool(const ReplicaPool &) = delete;
   ReplicaPool &operator=(const ReplicaPool &) = delete;
   ~ReplicaPool();
@@ -68,6 +69,7 @@
   boost::asio::io_context &m_Context;
   boost::asio::ip::tcp::endpoint m_Remote;
   PoolOptions m_Options;
+  std::shared_ptr<ReplyMemory> m_Memory;
   std::size_t m_Limit = 1;
   std::vector<Slot> m_Open;
   std::deque<Waiting> m_Waiting;
--- a/packages/gateway/src/gateway/pool/fwd.h
+++ b/packages/gateway/src/gateway/pool/fwd.h
@@ -7,5 +7,7 @@
 struct PoolOptions;
 class ReplicaConnection;
 class ReplicaPool;
+class ReplyMemory;
+class ReplyShare;
 
 } // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/traffic/ReplicaLinks.cpp
+++ b/packages/gateway/src/gateway/traffic/ReplicaLinks.cpp
@@ -39,8 +39,8 @@
     bool NeedsPool = !Known.Pool || Known.Pool->isRetired();
     if (NeedsPool && !IsLeaving && Remote) {
       Known.Address = Each.Address;
-      Known.Pool =
-          std::make_shared<ReplicaPool>(m_Context, Remote.value(), m_Options);
+      Known.Pool = std::make_shared<ReplicaPool>(m_Context, Remote.value(),
+                                                 m_Options, m_Memory);
     }
     if (Known.Pool && View.Table)
       Known.Pool->setLimit(connectionLimit(
--- a/packages/gateway/src/gateway/traffic/ReplicaLinks.h
+++ b/packages/gateway/src/gateway/traffic/ReplicaLinks.h
@@ -17,7 +17,8 @@
 class ReplicaLinks {
 public:
   ReplicaLinks(boost::asio::io_context &Context, PoolOptions Options)
-      : m_Context(Context), m_Options(Options) {}
+      : m_Context(Context), m_Options(Options),
+        m_Memory(std::make_shared<ReplyMemory>(Options.MaxReplyMemory)) {}
 
   /// @return The pool of @p Id, or null if it is not known.
   [[nodiscard]] std::shared_ptr<ReplicaPool> find(const ServerName &Id) const;
@@ -36,6 +37,7 @@
 
   boost::asio::io_context &m_Context;
   PoolOptions m_Options;
+  std::shared_ptr<ReplyMemory> m_Memory;
   std::unordered_map<ServerName, Link> m_Links;
 };
 
--- a/packages/gateway/test/gateway/FakeSite.cpp
+++ b/packages/gateway/test/gateway/FakeSite.cpp
@@ -40,6 +40,7 @@
   Settings.DirectoryAddress = AnyPort;
   Settings.StoreAddress = m_Doors.front()->Listener->address();
   Settings.MaxDescriptors = 1'000;
+  Settings.MemoryBytes = std::size_t{256} << 20;
   Settings.GracePeriod = Milliseconds(6'000);
   Settings.ReplicaHeartbeat = Milliseconds(1'200);
   Settings.DrainBound = Milliseconds(3'000);
