A VM that starts while the store is away believes what another VM told it

Found in reading the mend: with dated evidence a book that has never heard the store answer took its first list for true, and dropped replicas whose entries had lapsed in the outage; before, the failed calls had set the flag. Now the first answer counts as the end of an outage of unknown length.

--- a/packages/coordination/src/coordination/replicas/ReplicaBook.cpp
+++ b/packages/coordination/src/coordination/replicas/ReplicaBook.cpp
@@ -14,7 +14,7 @@
 }
 
 bool ReplicaBook::isStoreAway(TimePoint Now) const {
-  return m_AnsweredAt && Now - *m_AnsweredAt > m_Options.LapseTime;
+  return !m_AnsweredAt || Now - *m_AnsweredAt > m_Options.LapseTime;
 }
 
 bool ReplicaBook::isDoubted(TimePoint Now) const {
--- a/packages/gateway/test/gateway/pool/EndlessAnswerTest.cpp
+++ b/packages/gateway/test/gateway/pool/EndlessAnswerTest.cpp
@@ -84,6 +84,7 @@
 
   std::atomic<int> NotServed = 0;
   std::vector<std::thread> Asking;
+  Asking.reserve(Callers);
   for (int I = 0; I < Callers; ++I)
     Asking.emplace_back([&] { NotServed += askAll(Gateway); });
   for (std::thread &Each : Asking)
