--- a/scripts/soak/faults.py
+++ b/scripts/soak/faults.py
@@ -112,8 +112,8 @@
             self.site.store.forget_history()
             await asyncio.sleep(self.random.uniform(0.1, 0.8))
 
-    async def _harm_way_to_store(self, seconds, **how):
-        vm = self._vm()
+    async def _harm_way_to_store(self, seconds, vm=None, **how):
+        vm = vm or self._vm()
         proxy = self.site.store_proxies[vm.name]
         spans = [self.disruptions.begin(vm.name),
                  self.disruptions.begin(vm.name + " unplanned")]
@@ -246,6 +246,17 @@
         await asyncio.sleep(0.5)
         await self.site.leave_silently(replica)
 
+    async def replicas_leave_unseen(self):
+        """Replicas leave as a VM that others follow is cut off from the store."""
+        reader = self.site.vms[0]  # the first by name is followed
+        cut = asyncio.ensure_future(self._harm_way_to_store(
+            self.random.uniform(3, 6), reader, is_cut_down=True))
+        await asyncio.sleep(self.random.uniform(0, 2))
+        leave = self.random.choice(
+            [self.replicas_drained, self.replica_leaves_silently])
+        await asyncio.gather(leave(), leave())
+        await cut
+
     async def forged_entry(self):
         name = f"forged-{self.random.randint(1, 99)}"
         self.site.store.put("servers", name, self.random.choice(
--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -10,6 +10,7 @@
 
 PORTS = {"Front": 8104, "Ready": 8108, "Control": 8106, "directory": 8100}
 RESTART_S = 0.4
+VM_CENTRES = 2  # so that in each one VM follows another
 CENTRES = ("umea-a", "umea-b", "lulea-a")
 
 
@@ -19,7 +20,7 @@
     def __init__(self, number, prefix, folder, program, store_address, observer):
         self.name = f"vm{number}"
         self.ip = f"{prefix}.1.{number + 1}"
-        self.centre = CENTRES[number % len(CENTRES)]
+        self.centre = CENTRES[number % VM_CENTRES]
         self.program = program
         self.observer = observer
         self.settings = os.path.join(folder, f"{self.name}.json")
@@ -43,6 +44,8 @@
             "Limits": {"CpuShare": 1, "Cores": 1, "MaxFds": 4096},
             "HeartbeatMs": 1200,
             "Bounds": {"GraceS": bounds.GRACE_S, "ttl_max_s": 5,
+                       "DrainMs": 1000 * bounds.DRAIN_S,
+                       "ConfigApplyMs": 1000 * bounds.CONFIG_APPLY_S,
                        "RetryBudgetRatio": bounds.BUDGET_RATIO,
                        "BudgetWindowS": bounds.BUDGET_WINDOW_S,
                        "RetryBudgetSlack": bounds.BUDGET_SLACK},
