Test of changes: the store has answered before an entry is removed

Cause: lets a book that has never heard the store answer doubt removals; the case removed an entry from such a book. The case lets the store answer for 4 s before, as on a running VM; its checks are as they were, and pass.

--- a/packages/gateway/test/gateway/peers/CodecTest.cpp
+++ b/packages/gateway/test/gateway/peers/CodecTest.cpp
@@ -54,6 +54,9 @@
   FleetState State(
       VmName("vm1"), ReplicaBookOptions{}, Log, [] { return VmLoad{}; },
       [](const std::shared_ptr<const TrafficView> &) {});
+  // The store has answered for a while, so that a removal is believed.
+  for (int Ago = 4'000; Ago >= 0; Ago -= 1'000)
+    State.onStoreAnswered(monotonicNow() - Milliseconds(Ago));
   State.replaceReplicas({makeReplica("a"), makeReplica("b")}, 10, StoreSource);
   State.publish();
   ChangesQuestion Asked;
