Logs: the deadline each waiting attempt was given, and how late the traffic thread runs

The logs could not tell whether a replica is handed too much time because the subrequest waits in the pool, because the request waited before it was read, or because an attempt is sent twice. Each attempt that waited for a connection now shows the time that its replica was given beside what was left as it was sent; traffic_late and a metric show when the thread that reads requests ran 50 ms late. No decision changes.

--- a/packages/gateway/src/gateway/app/MetricsText.cpp
+++ b/packages/gateway/src/gateway/app/MetricsText.cpp
@@ -33,6 +33,7 @@
   addLine(Text, "attempts_abandoned_total", Counters.AttemptsAbandoned);
   addLine(Text, "attempts_to_leaving_total", Counters.AttemptsToLeaving);
   addLine(Text, "replica_connections_opened_total", Counters.Connections);
+  addLine(Text, "traffic_delay_milliseconds_max", Counters.LongestDelayMs);
   addLine(Text, "config_version", State.configVersion());
   addLine(Text, "replicas_known", State.replicas().entries().size());
   addLine(Text, "config_age_milliseconds", State.configAge().count());
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
@@ -76,15 +76,16 @@
   ++m_Shared.Counters.Attempts;
   if (Action.isExtra())
     ++m_Shared.Counters.ExtraAttempts;
+  auto Left = std::chrono::ceil<Milliseconds>(m_Run.deadline() - Now);
   m_Attempts.push_back({.Started = Action,
                         .Pool = m_Shared.Links.find(Action.Replica),
                         .SentAt = Now,
                         .WrittenAt = {},
+                        .TimeGiven = Left,
                         .EndedAt = {},
                         .Ended = {},
                         .Reply = {},
                         .ErrorText = {}});
-  auto Left = std::chrono::ceil<Milliseconds>(m_Run.deadline() - Now);
   Exchange Request;
   Request.Text = adapter::encodeSubrequest(m_Asked, Action.Replica, Left);
   Request.RequestId = m_Asked.Id;
@@ -163,6 +164,7 @@
     return;
   TimePoint Now = monotonicNow();
   Attempt->WrittenAt = Now;
+  Attempt->TimeLeft = std::chrono::ceil<Milliseconds>(m_Run.deadline() - Now);
   const ReplicaTracker *Gauge = m_Shared.Fleet.service(Attempt->Started.Service)
                                     .find(Attempt->Started.Replica);
   if (Gauge != nullptr && Gauge->record().State == ReplicaState::Serving)
--- a/packages/gateway/src/gateway/traffic/CallerService.cpp
+++ b/packages/gateway/src/gateway/traffic/CallerService.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr Milliseconds SweepInterval{500};
+constexpr Milliseconds MinLoggedDelay{50};
 /// Assumed timeout of a caller that does not send one.
 constexpr Milliseconds DefaultPatience{1'000};
 constexpr unsigned BadRequest = 400;
@@ -93,11 +94,25 @@
   m_Verdicts.check(m_Fleet, Now);
   m_SweepTimer.expires_after(SweepInterval);
   m_SweepTimer.async_wait([this](boost::system::error_code Stopped) {
-    if (!Stopped)
-      sweep();
+    if (Stopped)
+      return;
+    recordDelay(monotonicNow() - m_SweepTimer.expiry());
+    sweep();
   });
 }
 
+void CallerService::recordDelay(Duration Late) {
+  auto Millis = std::chrono::duration_cast<Milliseconds>(Late);
+  if (Millis < MinLoggedDelay)
+    return;
+  auto Count = static_cast<std::uint64_t>(Millis.count());
+  m_Counters.LongestDelayMs =
+      std::max<std::uint64_t>(m_Counters.LongestDelayMs, Count);
+  LogLine Line("traffic_late");
+  Line.add("late_ms", Count);
+  m_Log.write(Line);
+}
+
 http::Response CallerService::refuse(const adapter::CallerRequest &Asked,
                                      RefusalReason Why) {
   ++m_Counters.Refused;
--- a/packages/gateway/src/gateway/traffic/CallerService.h
+++ b/packages/gateway/src/gateway/traffic/CallerService.h
@@ -58,6 +58,9 @@
   http::Response refuse(const adapter::CallerRequest &Asked, RefusalReason Why);
   void applyLimits();
   void sweep();
+  /// @brief Logs how late the sweep timer ran, if that is notable: requests
+  /// that arrived meanwhile waited as long before they were read.
+  void recordDelay(Duration Late);
 
   boost::asio::io_context &m_Context;
   TrafficOptions m_Options;
--- a/packages/gateway/src/gateway/traffic/RequestLog.cpp
+++ b/packages/gateway/src/gateway/traffic/RequestLog.cpp
@@ -62,7 +62,9 @@
   if (Attempt.WrittenAt &&
       *Attempt.WrittenAt - Attempt.SentAt >= MinLoggedQueueing)
     Text += " queued " +
-            std::to_string(millis(*Attempt.WrittenAt - Attempt.SentAt)) + "ms";
+            std::to_string(millis(*Attempt.WrittenAt - Attempt.SentAt)) +
+            "ms given " + std::to_string(Attempt.TimeGiven.count()) + "ms of " +
+            std::to_string(Attempt.TimeLeft.count()) + "ms left";
   Text += ": ";
   if (!Attempt.Ended)
     return Text + "pending; ";
--- a/packages/gateway/src/gateway/traffic/TrafficCounters.h
+++ b/packages/gateway/src/gateway/traffic/TrafficCounters.h
@@ -26,6 +26,7 @@
   Counter AttemptsAbandoned = 0;
   Counter AttemptsToLeaving = 0; ///< Sent to a leaving or removed replica.
   Counter Connections = 0;       ///< Connections opened to replicas.
+  Counter LongestDelayMs = 0;    ///< By which a timer of the thread ran late.
 };
 
 } // namespace carawaypond::gateway
