BUDGET: the time left is written as a subrequest is sent, not as it begins to wait

Replicas worked on for callers that had gone.

Cause: ActiveRequest encoded the subrequest, with the time left, as it handed it to the replica's pool. The pool sends it when one of its few connections is free or the connect has ended, up to the request's deadline later. Class: a decision that holds at one moment is carried out after a wait without being looked at again.

Change: the pool asks for the subrequest (Exchange::Compose) just before its first byte is sent. RequestRun::maySend decides whether it is still to be sent and timeLeft how long its replica has. One that is not needed any more (its shard was served, the request was answered, its deadline passed) is withdrawn: the connection serves the next one, and the replica is not blamed.

The logs of the sightings showed 255 and 265 attempts with over 500 ms too much, in each of which the excess was the wait to 3 ms, and no late thread; an attempt sent twice does not exist in the code (a connection's failure ends its attempt).

--- a/packages/coordination/src/coordination/placement/ReplicaTracker.cpp
+++ b/packages/coordination/src/coordination/placement/ReplicaTracker.cpp
@@ -26,6 +26,13 @@
   return std::chrono::duration<double>(Part).count() / Divisor;
 }
 
+/// @return Whether the replica, or its end of the connection, ended the
+/// attempt.
+bool isFromReplica(AttemptResult How) {
+  return How != AttemptResult::Abandoned && How != AttemptResult::NeverSent &&
+         How != AttemptResult::Withdrawn;
+}
+
 } // namespace
 
 ReplicaTracker::ReplicaTracker(ReplicaRecord Record, TimePoint Now)
@@ -125,7 +132,7 @@
   m_Pending.erase(Found);
   Duration Latency = Now - Ended.SentAt;
   double Ratio = ratio(Latency, Ended.Expected);
-  if (How != AttemptResult::Abandoned && How != AttemptResult::NeverSent)
+  if (isFromReplica(How))
     m_LastAnswer = Now;
   switch (How) {
   case AttemptResult::Served:
@@ -150,6 +157,8 @@
   case AttemptResult::Misplaced:
     m_MisplacedUntil = Now + Options.MisplacedExclusionPeriod;
     return std::nullopt;
+  case AttemptResult::Withdrawn:
+    return std::nullopt;
   case AttemptResult::ServerFailed:
   case AttemptResult::Lost:
     recordFailure(1);
--- a/packages/coordination/src/coordination/run/RequestRun.cpp
+++ b/packages/coordination/src/coordination/run/RequestRun.cpp
@@ -13,7 +13,7 @@
 
 bool isKnownNotRun(AttemptResult How) {
   return How == AttemptResult::NotRun || How == AttemptResult::Misplaced ||
-         How == AttemptResult::NeverSent;
+         How == AttemptResult::NeverSent || How == AttemptResult::Withdrawn;
 }
 
 } // namespace
@@ -77,6 +77,16 @@
          Of.Attempts.size() < route().MaxAttempts + ExtraAttemptsAfterRefusal;
 }
 
+bool RequestRun::maySend(SubrequestId Id, TimePoint Now) const {
+  if (m_IsAnswered || Now >= m_Deadline)
+    return false;
+  for (const Target &Each : m_Targets)
+    for (const Attempt &Made : Each.Attempts)
+      if (Made.Id == Id)
+        return !Made.Ended && !Each.Served;
+  return false;
+}
+
 std::vector<ServerName> RequestRun::usedReplicas(const Target &Of) const {
   std::vector<ServerName> Used;
   for (const Attempt &Each : Of.Attempts)
--- a/packages/coordination/src/coordination/run/RequestRun.h
+++ b/packages/coordination/src/coordination/run/RequestRun.h
@@ -52,6 +52,13 @@
   [[nodiscard]] bool meetsObjective(TimePoint Now) const {
     return Now <= m_ObjectiveAt;
   }
+  /// @return Whether an attempt that waited for a connection is still to be
+  /// sent.
+  [[nodiscard]] bool maySend(SubrequestId Id, TimePoint Now) const;
+  /// @return How long a replica may work on an attempt that is sent at @p Now.
+  [[nodiscard]] Milliseconds timeLeft(TimePoint Now) const {
+    return std::chrono::ceil<Milliseconds>(m_Deadline - Now);
+  }
   [[nodiscard]] const RequestRoute &route() const { return *m_Plan.Chosen; }
   [[nodiscard]] const RunPlan &plan() const { return m_Plan; }
 
--- a/packages/coordination/test/coordination/run/RequestRunTest.cpp
+++ b/packages/coordination/test/coordination/run/RequestRunTest.cpp
@@ -158,6 +158,51 @@
   CHECK(pick<RefuseRequest>(Out).front().Why == RefusalReason::NoReplica);
 }
 
+TEST_CASE(
+    "BUDGET: an attempt that waits for a connection is sent only while its "
+    "answer is needed, with the time that is left by then") {
+  Fixture Made(20, 0.89);
+  RequestRun Run = Made.makeRun();
+  auto Sent = pick<StartAttempt>(Run.start(Start));
+  SubrequestId Waiting = Sent.front().Id;
+  TimePoint Later = Start + Milliseconds(600);
+  CHECK(Run.maySend(Waiting, Later));
+  CHECK(Run.timeLeft(Later) == Run.timeLeft(Start) - Milliseconds(600));
+
+  SUBCASE("another attempt at the same shard was served") {
+    serveAllBut(Run, Sent, 4, Start + Milliseconds(10));
+    auto Hedges = pick<StartAttempt>(Run.onTick(Start + Milliseconds(60)));
+    REQUIRE(Hedges.front().Service == Sent.front().Service);
+    Run.onEnded(Hedges.front().Id, AttemptResult::Served, Later);
+    CHECK_FALSE(Run.isAnswered());
+    CHECK_FALSE(Run.maySend(Waiting, Later));
+    CHECK(Run.maySend(Hedges.back().Id, Later));
+  }
+  SUBCASE("the request was answered without it") {
+    serveAllBut(Run, Sent, 1, Start + Milliseconds(10));
+    Run.onTick(Start + Milliseconds(100) - Made.Options.CallerAllowance);
+    REQUIRE(Run.isAnswered());
+    CHECK_FALSE(Run.maySend(Waiting, Later));
+  }
+  SUBCASE("the deadline has passed") {
+    CHECK_FALSE(Run.maySend(Waiting, Run.deadline()));
+  }
+}
+
+TEST_CASE("an attempt that was withdrawn is no sign against its replica") {
+  Fixture Made(1);
+  RequestRun Run = Made.makeRun();
+  auto Sent = pick<StartAttempt>(Run.start(Start));
+  ReplicaTracker &Gauge =
+      *Made.Fleet.service(Made.Shards.front()).find(Sent.front().Replica);
+  double Before = Gauge.cost(Made.Fleet.options(), Start);
+  Run.onCallerGone(Start);
+  Run.onEnded(Sent.front().Id, AttemptResult::Withdrawn, Start);
+  CHECK(Gauge.outstanding() == 0);
+  CHECK(Gauge.cost(Made.Fleet.options(), Start) < Before);
+  CHECK(Gauge.failureRate() == 0);
+}
+
 TEST_CASE("a leaving replica gets no requests") {
   Fixture Made(1);
   std::vector<ReplicaRecord> Replicas;
--- a/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
@@ -90,14 +90,17 @@
                            if (ConnectFailed)
                              return Self->fail(false, ConnectFailed.message());
                            Self->m_IsConnected = true;
+                           Self->m_IdleSince = monotonicNow();
                            Self->write();
                          });
 }
 
 void ReplicaConnection::write() {
-  if (m_Current->Written)
-    m_Current->Written();
-  boost::asio::async_write(m_Socket, boost::asio::buffer(m_Current->Text),
+  std::optional<std::string> Text = m_Current->Compose();
+  if (!Text)
+    return withdraw();
+  m_Text = std::move(*Text);
+  boost::asio::async_write(m_Socket, boost::asio::buffer(m_Text),
                            [Self = shared_from_this(), Serial = m_Serial](
                                error_code Failed, std::size_t Bytes) {
                              if (!Self->m_Current || Self->m_Serial != Serial)
@@ -164,6 +167,20 @@
   Done(std::move(Reply));
 }
 
+void ReplicaConnection::withdraw() {
+  // Posted, because Done may start the next waiting request on this connection,
+  // which may be withdrawn as well.
+  boost::asio::post(m_Socket.get_executor(), [Self = shared_from_this(),
+                                              Serial = m_Serial] {
+    if (!Self->m_Current || Self->m_Serial != Serial)
+      return;
+    auto Done = std::move(Self->m_Current->Done);
+    Self->m_Current.reset();
+    Done(ExchangeFailure{
+        .WasSent = false, .IsWithdrawn = true, .Why = "no longer to be sent"});
+  });
+}
+
 void ReplicaConnection::fail(bool WasSent, const std::string &Why) {
   auto Done = std::move(m_Current->Done);
   m_Current.reset();
--- a/packages/gateway/src/gateway/pool/ReplicaConnection.h
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.h
@@ -56,6 +56,8 @@
   void read();
   void onRead(boost::system::error_code Failed);
   void onAnswer();
+  /// @brief Ends the current request unsent; the connection stays usable.
+  void withdraw();
   void fail(bool WasSent, const std::string &Why);
   void succeed(adapter::ReplicaReply Reply);
   void close();
@@ -68,6 +70,7 @@
   std::optional<Parser> m_Parser;
   ReplyReservation m_Reservation; ///< Memory of the answer that is being read.
   std::optional<Exchange> m_Current;
+  std::string m_Text; ///< Serialised request that is being written.
   /// Number of the current request; callbacks of earlier ones are ignored.
   std::uint64_t m_Serial = 0;
   /// Interim answers, and answers to other requests, since the request began.
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
@@ -35,6 +35,12 @@
                                    : AttemptResult::ServerFailed;
 }
 
+AttemptResult resultOf(const ExchangeFailure &Failure) {
+  if (Failure.IsWithdrawn)
+    return AttemptResult::Withdrawn;
+  return Failure.WasSent ? AttemptResult::Lost : AttemptResult::NeverSent;
+}
+
 } // namespace
 
 ActiveRequest::ActiveRequest(SharedResources Parts,
@@ -76,23 +82,20 @@
   ++m_Shared.Counters.Attempts;
   if (Action.isExtra())
     ++m_Shared.Counters.ExtraAttempts;
-  auto Left = std::chrono::ceil<Milliseconds>(m_Run.deadline() - Now);
   m_Attempts.push_back({.Started = Action,
                         .Pool = m_Shared.Links.find(Action.Replica),
                         .SentAt = Now,
                         .WrittenAt = {},
-                        .TimeGiven = Left,
                         .EndedAt = {},
                         .Ended = {},
                         .Reply = {},
                         .ErrorText = {}});
   Exchange Request;
-  Request.Text = adapter::encodeSubrequest(m_Asked, Action.Replica, Left);
   Request.RequestId = m_Asked.Id;
   Request.IsHead = m_Asked.IsHead;
   Request.IsIdempotent = m_Run.route().Kind == RequestKind::Idempotent;
-  Request.Written = [Self = shared_from_this(), Id = Action.Id] {
-    Self->onWritten(Id);
+  Request.Compose = [Self = shared_from_this(), Id = Action.Id] {
+    return Self->compose(Id);
   };
   Request.Done = [Self = shared_from_this(),
                   Id = Action.Id](ExchangeResult How) {
@@ -158,25 +161,31 @@
                              "the request may have run"));
 }
 
-void ActiveRequest::onWritten(SubrequestId Id) {
+std::optional<std::string> ActiveRequest::compose(SubrequestId Id) {
   AttemptState *Attempt = find(Id);
-  if (Attempt == nullptr)
-    return;
   TimePoint Now = monotonicNow();
+  if (Attempt == nullptr || !m_Run.maySend(Id, Now))
+    return std::nullopt;
   Attempt->WrittenAt = Now;
-  Attempt->TimeLeft = std::chrono::ceil<Milliseconds>(m_Run.deadline() - Now);
-  const ReplicaTracker *Gauge = m_Shared.Fleet.service(Attempt->Started.Service)
-                                    .find(Attempt->Started.Replica);
+  Attempt->TimeGiven = m_Run.timeLeft(Now);
+  logIfLeaving(*Attempt, Now);
+  return adapter::encodeSubrequest(m_Asked, Attempt->Started.Replica,
+                                   Attempt->TimeGiven);
+}
+
+void ActiveRequest::logIfLeaving(const AttemptState &Attempt, TimePoint Now) {
+  const ReplicaTracker *Gauge = m_Shared.Fleet.service(Attempt.Started.Service)
+                                    .find(Attempt.Started.Replica);
   if (Gauge != nullptr && Gauge->record().State == ReplicaState::Serving)
     return;
   ++m_Shared.Counters.AttemptsToLeaving;
   LogLine Line("sent_to_leaving");
   Line.add("request", m_Asked.Id);
-  Line.add("replica", Attempt->Started.Replica.value());
+  Line.add("replica", Attempt.Started.Replica.value());
   Line.add("known", Gauge != nullptr);
   Line.add(
       "queued_ms",
-      std::chrono::duration_cast<Milliseconds>(Now - Attempt->SentAt).count());
+      std::chrono::duration_cast<Milliseconds>(Now - Attempt.SentAt).count());
   m_Shared.Log.write(Line);
 }
 
@@ -184,8 +193,7 @@
   AttemptState *Attempt = find(Id);
   if (auto *Failure = std::get_if<ExchangeFailure>(&How)) {
     Attempt->ErrorText = Failure->Why;
-    return end(Id, Failure->WasSent ? AttemptResult::Lost
-                                    : AttemptResult::NeverSent);
+    return end(Id, resultOf(*Failure));
   }
   Attempt->Reply = std::move(std::get<adapter::ReplicaReply>(How));
   end(Id, classify(*Attempt->Reply));
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.h
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.h
@@ -56,9 +56,11 @@
   void apply(const RelayReply &Action);
   void apply(const RefuseRequest &Action);
   void apply(const FailRequest &Action);
-  /// @brief Records when the attempt was sent, and logs it if its replica was
-  /// leaving or unknown by then.
-  void onWritten(SubrequestId Id);
+  /// @return The attempt's subrequest as it is to be sent now; nothing if it is
+  /// not to be sent any more.
+  std::optional<std::string> compose(SubrequestId Id);
+  /// @brief Logs the attempt if its replica is leaving or unknown.
+  void logIfLeaving(const AttemptState &Attempt, TimePoint Now);
   void onExchange(SubrequestId Id, ExchangeResult How);
   void end(SubrequestId Id, AttemptResult How);
   void abandonExpired(TimePoint Now);
--- a/packages/gateway/src/gateway/traffic/AttemptState.h
+++ b/packages/gateway/src/gateway/traffic/AttemptState.h
@@ -18,7 +18,6 @@
   TimePoint SentAt;                   ///< When it was passed to the pool.
   std::optional<TimePoint> WrittenAt; ///< When its first byte was written.
   Milliseconds TimeGiven{0}; ///< Deadline sent to the replica, from WrittenAt.
-  Milliseconds TimeLeft{0};  ///< Until the run's deadline, at WrittenAt.
   TimePoint AbandonAt = TimePoint::max();
   std::optional<TimePoint> EndedAt;
   std::optional<AttemptResult> Ended;
--- a/packages/gateway/src/gateway/traffic/RequestLog.cpp
+++ b/packages/gateway/src/gateway/traffic/RequestLog.cpp
@@ -30,6 +30,8 @@
     return "misplaced";
   case AttemptResult::NeverSent:
     return "never_sent";
+  case AttemptResult::Withdrawn:
+    return "withdrawn";
   case AttemptResult::Lost:
     return "lost";
   case AttemptResult::Abandoned:
@@ -63,8 +65,7 @@
       *Attempt.WrittenAt - Attempt.SentAt >= MinLoggedQueueing)
     Text += " queued " +
             std::to_string(millis(*Attempt.WrittenAt - Attempt.SentAt)) +
-            "ms given " + std::to_string(Attempt.TimeGiven.count()) + "ms of " +
-            std::to_string(Attempt.TimeLeft.count()) + "ms left";
+            "ms given " + std::to_string(Attempt.TimeGiven.count()) + "ms";
   Text += ": ";
   if (!Attempt.Ended)
     return Text + "pending; ";
