BUDGET: a request's time runs from its first byte, not from the end of its body

Callers that send a body in pieces had their requests handed to replicas with more time than they had left: their time runs from when they send, the VM counted from when it had read the whole request.

Evidence: gateway_test "BUDGET: a request whose body came late ..." failed before: 1492 ms too much after a pause of 1.5 s, bound 500 ms.

--- a/packages/coordination/src/coordination/run/RequestRun.cpp
+++ b/packages/coordination/src/coordination/run/RequestRun.cpp
@@ -19,16 +19,16 @@
 } // namespace
 
 RequestRun::RequestRun(RunPlan Plan, ReplicaFleet &Fleet, SubrequestId FirstId,
-                       const RunOptions &Options, TimePoint Now)
+                       const RunOptions &Options, TimePoint ReceivedAt)
     : m_Plan(std::move(Plan)), m_Fleet(Fleet), m_Options(Options),
-      m_Latency(Fleet.latency(*m_Plan.Chosen)), m_StartedAt(Now),
+      m_Latency(Fleet.latency(*m_Plan.Chosen)), m_StartedAt(ReceivedAt),
       m_NextId(FirstId.value()) {
   const RequestRoute &Chosen = *m_Plan.Chosen;
-  m_ObjectiveAt =
-      Now + Chosen.Objective - m_Plan.AlreadyWaited - m_Options.CallerAllowance;
+  m_ObjectiveAt = ReceivedAt + Chosen.Objective - m_Plan.AlreadyWaited -
+                  m_Options.CallerAllowance;
   Milliseconds Patience = std::min(m_Plan.CallerTimeout, Chosen.Timeout);
-  m_Deadline =
-      Now + std::max(Patience - m_Options.AnswerAllowance, Milliseconds(1));
+  m_Deadline = ReceivedAt +
+               std::max(Patience - m_Options.AnswerAllowance, Milliseconds(1));
   m_Targets.reserve(m_Plan.Services.size());
   for (const ServiceName &Each : m_Plan.Services)
     m_Targets.push_back({.Service = Each});
--- a/packages/coordination/src/coordination/run/RequestRun.h
+++ b/packages/coordination/src/coordination/run/RequestRun.h
@@ -20,7 +20,7 @@
   std::shared_ptr<const RoutingTable> Table; ///< Keeps the route alive.
   const RequestRoute *Chosen = nullptr;
   std::vector<ServiceName> Services; ///< One service, or every shard.
-  Milliseconds CallerTimeout{0};     ///< How long the caller waits from now.
+  Milliseconds CallerTimeout{0};     ///< How long the caller waits.
   Milliseconds AlreadyWaited{0};     ///< By the caller, in earlier tries.
 };
 
@@ -34,8 +34,9 @@
 /// unless the caller disconnects first.
 class RequestRun {
 public:
+  /// @param ReceivedAt When the caller's timeout began to run.
   RequestRun(RunPlan Plan, ReplicaFleet &Fleet, SubrequestId FirstId,
-             const RunOptions &Options, TimePoint Now);
+             const RunOptions &Options, TimePoint ReceivedAt);
 
   [[nodiscard]] bool isAnswered() const { return m_IsAnswered; }
   /// @return Whether the caller was answered and no attempt is outstanding.
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
@@ -47,9 +47,8 @@
                              adapter::CallerRequest Asked, RunPlan Plan,
                              SubrequestId FirstId, const RunOptions &Options)
     : m_Shared(Parts), m_Asked(std::move(Asked)),
-      m_Run(std::move(Plan), Parts.Fleet, FirstId, Options, monotonicNow()),
-      m_StartedAt(monotonicNow()), m_Timer(Parts.Context),
-      m_Answered(Parts.Context) {
+      m_Run(std::move(Plan), Parts.Fleet, FirstId, Options, m_Asked.ReceivedAt),
+      m_Timer(Parts.Context), m_Answered(Parts.Context) {
   m_Attempts.reserve(m_Run.plan().Services.size() + 2);
 }
 
@@ -58,7 +57,7 @@
   m_Answered.expires_at(TimePoint::max());
   if (m_Asked.Caller)
     m_Asked.Caller->onClosed([Self] { Self->onCallerGone(); });
-  apply(m_Run.start(m_StartedAt));
+  apply(m_Run.start(monotonicNow()));
   schedule();
   while (!m_Answer)
     co_await m_Answered.async_wait(AsTuple);
@@ -268,7 +267,7 @@
 
 void ActiveRequest::recordSuccess() {
   TimePoint Now = monotonicNow();
-  m_Shared.Latencies.addAnswer(m_Run.route().Name, Now - m_StartedAt);
+  m_Shared.Latencies.addAnswer(m_Run.route().Name, Now - m_Asked.ReceivedAt);
   if (!m_Run.meetsObjective(Now))
     logOutcome("served", "late");
   else if (isSampled(m_Asked.Id))
@@ -280,7 +279,7 @@
   m_Shared.Log.write(describeRequest(m_Asked, m_Run, m_Attempts,
                                      {.Outcome = Outcome,
                                       .Reason = Reason,
-                                      .ArrivedAt = m_StartedAt,
+                                      .ArrivedAt = m_Asked.ReceivedAt,
                                       .Now = monotonicNow()}));
 }
 
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.h
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.h
@@ -77,7 +77,6 @@
   SharedResources m_Shared;
   adapter::CallerRequest m_Asked;
   RequestRun m_Run;
-  TimePoint m_StartedAt;
   std::vector<AttemptState> m_Attempts;
   boost::asio::steady_timer m_Timer;
   /// Never expires; cancelled when the answer is set, which resumes run().
--- a/packages/gateway/test/gateway/traffic/TimeGivenTest.cpp
+++ b/packages/gateway/test/gateway/traffic/TimeGivenTest.cpp
@@ -1,3 +1,4 @@
+#include "gateway/RawCaller.h"
 #include "gateway/RunningGateway.h"
 
 #include <doctest/doctest.h>
@@ -24,24 +25,33 @@
             {"Services", {{{"Name", "s0"}, {"MaxConns", 1}}}}});
 }
 
+/// @brief Measures how much more time a replica is given than the caller has
+/// left, which has CallerTimeout from AskedAt on.
+struct ExcessProbe {
+  std::atomic<TimePoint> AskedAt;
+  std::atomic<std::int64_t> ExcessMs{INT64_MIN};
+
+  void record(const http::Request &Arrived) {
+    auto Waited =
+        std::chrono::floor<Milliseconds>(monotonicNow() - AskedAt.load());
+    Milliseconds Given(std::stoll(*Arrived.header("X-Deadline-Ms")));
+    ExcessMs = (Given - (CallerTimeout - Waited)).count();
+  }
+};
+
 } // namespace
 
 TEST_CASE("BUDGET: a request that waited for a connection is given only the "
           "time that its caller has left") {
   FakeSite Site;
   FakeSite::Replica &Busy = Site.addReplica("s0");
-  std::atomic<TimePoint> AskedAt;
-  std::atomic<std::int64_t> ExcessMs{INT64_MIN};
+  ExcessProbe Probe;
   auto Proper = Busy.Answer;
   Busy.Answer = [&, Proper](const http::Request &Asked) {
-    if (*Asked.header("X-Request-Id") == "first") {
+    if (*Asked.header("X-Request-Id") == "first")
       std::this_thread::sleep_for(BusyTime);
-      return Proper(Asked);
-    }
-    auto Waited =
-        std::chrono::floor<Milliseconds>(monotonicNow() - AskedAt.load());
-    Milliseconds Given(std::stoll(*Asked.header("X-Deadline-Ms")));
-    ExcessMs = (Given - (CallerTimeout - Waited)).count();
+    else
+      Probe.record(Asked);
     return Proper(Asked);
   };
   putOneConnectionConfig(Site);
@@ -50,11 +60,37 @@
   std::thread First([&] { (void)Gateway.ask("/s/1", "first"); });
   REQUIRE(eventually([&] { return Busy.Arrivals == 1; }));
 
-  AskedAt = monotonicNow();
+  Probe.AskedAt = monotonicNow();
   http::Response Answer = Gateway.ask("/s/1", "second");
   First.join();
 
   CHECK(Answer.Status == 200);
-  CHECK(ExcessMs > INT64_MIN);
-  CHECK(Milliseconds(ExcessMs) <= MaxExcess);
+  CHECK(Probe.ExcessMs > INT64_MIN);
+  CHECK(Milliseconds(Probe.ExcessMs) <= MaxExcess);
+}
+
+TEST_CASE("BUDGET: a request whose body came late is given only the time that "
+          "its caller has left") {
+  FakeSite Site;
+  FakeSite::Replica &Only = Site.addReplica("s0");
+  ExcessProbe Probe;
+  auto Proper = Only.Answer;
+  Only.Answer = [&, Proper](const http::Request &Asked) {
+    Probe.record(Asked);
+    return Proper(Asked);
+  };
+  putOneConnectionConfig(Site);
+  RunningGateway Gateway(Site.settings("vm1"));
+  REQUIRE(Gateway.awaitReady());
+
+  RawCaller Caller(Gateway.addresses().Callers);
+  Probe.AskedAt = monotonicNow();
+  Caller.send("POST /s/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: id1\r\n"
+              "X-Deadline-Ms: 10000\r\nContent-Length: 4\r\n\r\nab");
+  std::this_thread::sleep_for(BusyTime);
+  Caller.send("cd");
+
+  CHECK(Caller.readHead().starts_with("HTTP/1.1 200"));
+  CHECK(Probe.ExcessMs > INT64_MIN);
+  CHECK(Milliseconds(Probe.ExcessMs) <= MaxExcess);
 }
--- a/packages/http/src/http/Request.h
+++ b/packages/http/src/http/Request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/time/Time.h"
 #include "http/Header.h"
 #include "http/fwd.h"
 
@@ -21,6 +22,8 @@
   std::string Body;
   std::string Target;        ///< As on the wire; set by the listener.
   std::string RemoteAddress; ///< "ip:port"; set by the listener.
+  /// When its first byte was found; set by the listener.
+  TimePoint ReceivedAt;
   /// Set by a listener with ListenerOptions::WatchCallers.
   std::shared_ptr<CallerConnection> Caller;
 
--- a/packages/http/src/http/Session.cpp
+++ b/packages/http/src/http/Session.cpp
@@ -160,6 +160,7 @@
 
 awaitable<bool> Session::serveRequest() {
   InFlightGuard Counted(m_Table->counters());
+  TimePoint ReceivedAt = monotonicNow();
   Parser Incoming;
   Incoming.header_limit(
       static_cast<std::uint32_t>(m_Table->options().MaxHeaderBytes));
@@ -172,6 +173,7 @@
   if (!Asked)
     co_return co_await reject(beast_http::error::bad_target);
   Asked->RemoteAddress = m_RemoteAddress;
+  Asked->ReceivedAt = ReceivedAt;
   bool IsHead = Asked->Method == "HEAD";
   waitForever();
   ++m_Table->counters().Requests;
