BUDGET: a replica that refuses with Retry-After gets no request until then

ReplicaNotices holds what one incarnation has said, also while its record is missing around an outage of the store. ReplicaTracker::isUsable and RequestRun::maySend ask it, so that neither a new attempt nor one that waits in a pool is sent; the pool rechecks its queue when a notice comes. If all replicas of a service pause, the caller is refused at once and told to return with the first of them.

With this gate an attempt to a replica that leaves or is gone can't be sent from a queue either: the event sent_to_leaving and its counter have no case left; attempts_withdrawn_total takes their place.

--- a/packages/coordination/src/coordination/placement/ReplicaFleet.cpp
+++ b/packages/coordination/src/coordination/placement/ReplicaFleet.cpp
@@ -9,6 +9,8 @@
 /// The initial estimate of a route's median latency is its objective divided by
 /// this.
 constexpr int ObjectivePerMedian = 8;
+/// How long what a removed replica has said is kept.
+constexpr Milliseconds RemovedRetention{60'000};
 
 } // namespace
 
@@ -30,18 +32,49 @@
     auto Before = m_ServiceOf.find(Each.Id);
     if (Before != m_ServiceOf.end() && Before->second != Each.Service)
       service(Before->second).erase(Each.Id);
-    m_ServiceOf[Each.Id] = Each.Service;
-    service(Each.Service).put(Each, Now);
+    put(Each, Now);
   }
   std::vector<ServerName> Gone;
   for (const auto &[Id, Service] : m_ServiceOf)
     if (!Present.contains(Id))
       Gone.push_back(Id);
-  for (const ServerName &Id : Gone) {
-    service(m_ServiceOf[Id]).erase(Id);
-    m_ServiceOf.erase(Id);
-  }
+  for (const ServerName &Id : Gone)
+    remove(Id, Now);
+  std::erase_if(m_Removed, [Now](const auto &Each) {
+    return Now - Each.second.RemovedAt > RemovedRetention;
+  });
   return Gone;
 }
 
+void ReplicaFleet::put(const ReplicaRecord &Record, TimePoint Now) {
+  ServiceFleet &Into = service(Record.Service);
+  bool IsNew = Into.find(Record.Id) == nullptr;
+  m_ServiceOf[Record.Id] = Record.Service;
+  Into.put(Record, Now);
+  auto Before = m_Removed.find(Record.Id);
+  if (!IsNew || Before == m_Removed.end())
+    return;
+  if (Before->second.StartedAt == Record.StartedAt)
+    Into.find(Record.Id)->restore(Before->second.Said);
+  m_Removed.erase(Before);
+}
+
+void ReplicaFleet::remove(const ServerName &Id, TimePoint Now) {
+  ServiceFleet &From = service(m_ServiceOf[Id]);
+  const ReplicaTracker &Gauge = *From.find(Id);
+  m_Removed[Id] = {.StartedAt = Gauge.record().StartedAt,
+                   .Said = Gauge.notices(),
+                   .RemovedAt = Now};
+  From.erase(Id);
+  m_ServiceOf.erase(Id);
+}
+
+bool ReplicaFleet::onNotice(const ServerName &Replica,
+                            const ReplicaNotice &Told, TimePoint Now) {
+  auto Known = m_ServiceOf.find(Replica);
+  if (Known == m_ServiceOf.end())
+    return false;
+  return service(Known->second).find(Replica)->onNotice(Told, Now);
+}
+
 } // namespace carawaypond
--- a/packages/coordination/src/coordination/placement/ReplicaFleet.h
+++ b/packages/coordination/src/coordination/placement/ReplicaFleet.h
@@ -38,13 +38,29 @@
   /// @return Replicas that were known before and are not any more.
   std::vector<ServerName> replace(const std::vector<ReplicaRecord> &Known,
                                   TimePoint Now);
+  /// @brief Takes in what @p Replica says about itself in an answer.
+  /// @return Whether that changes when it may get requests.
+  bool onNotice(const ServerName &Replica, const ReplicaNotice &Told,
+                TimePoint Now);
   void setShare(double Share) { m_Share = Share; }
 
 private:
+  /// @brief What a replica had said when its record was removed. Records are
+  /// also removed and put back around an outage of the store.
+  struct Removed {
+    std::int64_t StartedAt = 0;
+    ReplicaNotices Said;
+    TimePoint RemovedAt;
+  };
+
+  void remove(const ServerName &Id, TimePoint Now);
+  void put(const ReplicaRecord &Record, TimePoint Now);
+
   PlacementOptions m_Options;
   double m_Share = 1;
   std::unordered_map<ServiceName, ServiceFleet> m_Services;
   std::unordered_map<ServerName, ServiceName> m_ServiceOf;
+  std::unordered_map<ServerName, Removed> m_Removed;
   std::unordered_map<std::string, RouteLatency> m_Latencies;
   std::unordered_map<std::string, RetryAdvice> m_RetryAdvice;
 };
--- /dev/null
+++ b/packages/coordination/src/coordination/placement/ReplicaNotice.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "core/time/Time.h"
+
+#include <optional>
+
+namespace carawaypond {
+
+/// @brief What a replica says about itself in one answer.
+struct ReplicaNotice {
+  /// How long it wants no requests from this VM.
+  std::optional<Milliseconds> RetryAfter;
+};
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/placement/ReplicaNotices.cpp
@@ -0,0 +1,14 @@
+#include "coordination/placement/ReplicaNotices.h"
+
+namespace carawaypond {
+
+bool ReplicaNotices::apply(const ReplicaNotice &Told, TimePoint Now) {
+  bool HasChanged = false;
+  if (Told.RetryAfter && Now + *Told.RetryAfter > m_PausedUntil) {
+    m_PausedUntil = Now + *Told.RetryAfter;
+    HasChanged = true;
+  }
+  return HasChanged;
+}
+
+} // namespace carawaypond
--- /dev/null
+++ b/packages/coordination/src/coordination/placement/ReplicaNotices.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "coordination/placement/ReplicaNotice.h"
+#include "core/time/Time.h"
+
+namespace carawaypond {
+
+/// @brief What one incarnation of a replica has said about itself in its
+/// answers to this VM. It holds whatever the store says, or fails to say.
+class ReplicaNotices {
+public:
+  /// @return Whether it may get requests at @p Now.
+  [[nodiscard]] bool allowRequests(TimePoint Now) const {
+    return Now >= m_PausedUntil;
+  }
+  /// @return The end of the pause that it has asked for; in the past if there
+  /// is none.
+  [[nodiscard]] TimePoint pausedUntil() const { return m_PausedUntil; }
+
+  /// @brief Takes in the notice of an answer that arrived at @p Now.
+  /// @return Whether it changes when the replica may get requests.
+  bool apply(const ReplicaNotice &Told, TimePoint Now);
+
+private:
+  TimePoint m_PausedUntil;
+};
+
+} // namespace carawaypond
--- a/packages/coordination/src/coordination/placement/ReplicaTracker.cpp
+++ b/packages/coordination/src/coordination/placement/ReplicaTracker.cpp
@@ -40,7 +40,8 @@
       m_SlownessAt(Now), m_RefusedUntil(Now), m_MisplacedUntil(Now) {}
 
 bool ReplicaTracker::isUsable(TimePoint Now) const {
-  return m_Record.State == ReplicaState::Serving && Now >= m_MisplacedUntil;
+  return m_Record.State == ReplicaState::Serving && Now >= m_MisplacedUntil &&
+         m_Notices.allowRequests(Now);
 }
 
 bool ReplicaTracker::isStalled(const PlacementOptions &Options,
@@ -108,6 +109,8 @@
     m_RefusalSeries = 0;
     m_RefusedUntil = Now;
   }
+  if (Record.StartedAt != m_Record.StartedAt)
+    m_Notices = {};
   bool HasNewWarmup = Record.StartedAt != m_Record.StartedAt ||
                       Record.WarmupLeft != m_Record.WarmupLeft;
   if (HasNewWarmup)
@@ -115,6 +118,10 @@
   m_Record = std::move(Record);
 }
 
+bool ReplicaTracker::onNotice(const ReplicaNotice &Told, TimePoint Now) {
+  return m_Notices.apply(Told, Now);
+}
+
 void ReplicaTracker::onSent(SubrequestId Id, Duration Expected, TimePoint Now) {
   m_Pending.push_back({.Id = Id, .SentAt = Now, .Expected = Expected});
 }
--- a/packages/coordination/src/coordination/placement/ReplicaTracker.h
+++ b/packages/coordination/src/coordination/placement/ReplicaTracker.h
@@ -3,6 +3,7 @@
 #include "coordination/placement/AttemptResult.h"
 #include "coordination/placement/PlacementOptions.h"
 #include "coordination/placement/ReplicaHealth.h"
+#include "coordination/placement/ReplicaNotices.h"
 #include "coordination/replicas/ReplicaRecord.h"
 #include "core/id/Ids.h"
 #include "core/time/Time.h"
@@ -35,6 +36,8 @@
   [[nodiscard]] Duration expectedWait(Duration Expected,
                                       const PlacementOptions &Options,
                                       TimePoint Now) const;
+  /// @return What it has said about itself in its answers.
+  [[nodiscard]] const ReplicaNotices &notices() const { return m_Notices; }
   /// @return The share of recent requests that failed.
   [[nodiscard]] double failureRate() const { return m_FailureRate; }
   [[nodiscard]] ReplicaHealth verdict(const PlacementOptions &Options,
@@ -44,6 +47,11 @@
                             TimePoint Now) const;
 
   void update(ReplicaRecord Record, TimePoint Now);
+  /// @brief Takes in what it says about itself in an answer.
+  /// @return Whether that changes when it may get requests.
+  bool onNotice(const ReplicaNotice &Told, TimePoint Now);
+  /// @brief Restores what the same incarnation has said before.
+  void restore(const ReplicaNotices &Said) { m_Notices = Said; }
   /// @param Expected The normal latency of such a request.
   void onSent(SubrequestId Id, Duration Expected, TimePoint Now);
   /// @return The latency if the request was served and the replica is not slow.
@@ -64,6 +72,7 @@
   void recordRefusal(const PlacementOptions &Options, TimePoint Now);
 
   ReplicaRecord m_Record;
+  ReplicaNotices m_Notices;
   TimePoint m_WarmupReportedAt; ///< When the record's WarmupLeft was reported.
   std::vector<Pending> m_Pending;
   TimePoint m_LastAnswer;
--- a/packages/coordination/src/coordination/placement/ServiceFleet.cpp
+++ b/packages/coordination/src/coordination/placement/ServiceFleet.cpp
@@ -35,6 +35,17 @@
   return Best;
 }
 
+std::optional<Duration> ServiceFleet::leastPause(TimePoint Now) const {
+  std::optional<Duration> Least;
+  for (const auto &[Id, Gauge] : m_Replicas) {
+    TimePoint End = Gauge.notices().pausedUntil();
+    bool IsServing = Gauge.record().State == ReplicaState::Serving;
+    if (IsServing && End > Now)
+      Least = std::min(Least.value_or(End - Now), End - Now);
+  }
+  return Least;
+}
+
 void ServiceFleet::put(const ReplicaRecord &Record, TimePoint Now) {
   auto Found = m_Replicas.find(Record.Id);
   if (Found == m_Replicas.end())
--- a/packages/coordination/src/coordination/placement/ServiceFleet.h
+++ b/packages/coordination/src/coordination/placement/ServiceFleet.h
@@ -6,6 +6,7 @@
 #include "core/id/Ids.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace carawaypond {
@@ -29,6 +30,10 @@
   cheapest(const std::vector<ServerName> &Excluded,
            const PlacementOptions &Options, TimePoint Now);
 
+  /// @return How long until the first of the replicas that have asked for a
+  /// pause may get requests again; nothing if none has.
+  [[nodiscard]] std::optional<Duration> leastPause(TimePoint Now) const;
+
   void put(const ReplicaRecord &Record, TimePoint Now);
   void erase(const ServerName &Id) { m_Replicas.erase(Id); }
 
--- a/packages/coordination/src/coordination/placement/fwd.h
+++ b/packages/coordination/src/coordination/placement/fwd.h
@@ -5,7 +5,9 @@
 enum class AttemptResult;
 enum class ReplicaHealth;
 struct PlacementOptions;
+struct ReplicaNotice;
 class ReplicaFleet;
+class ReplicaNotices;
 class ReplicaTracker;
 class RouteLatency;
 class ServiceFleet;
--- a/packages/coordination/src/coordination/run/RequestRun.cpp
+++ b/packages/coordination/src/coordination/run/RequestRun.cpp
@@ -77,13 +77,19 @@
          Of.Attempts.size() < route().MaxAttempts + ExtraAttemptsAfterRefusal;
 }
 
+bool RequestRun::isUsable(const Target &Of, const Attempt &Made,
+                          TimePoint Now) const {
+  const ReplicaTracker *Gauge = m_Fleet.service(Of.Service).find(Made.Replica);
+  return Gauge != nullptr && Gauge->isUsable(Now);
+}
+
 bool RequestRun::maySend(SubrequestId Id, TimePoint Now) const {
   if (m_IsAnswered || Now >= m_Deadline)
     return false;
   for (const Target &Each : m_Targets)
     for (const Attempt &Made : Each.Attempts)
       if (Made.Id == Id)
-        return !Made.Ended && !Each.Served;
+        return !Made.Ended && !Each.Served && isUsable(Each, Made, Now);
   return false;
 }
 
@@ -329,6 +335,8 @@
   Duration Longest{};
   for (const Target &Each : m_Targets) {
     std::optional<Duration> Wait = leastWait(Each, Now);
+    if (!Wait)
+      Wait = m_Fleet.service(Each.Service).leastPause(Now);
     if (!Wait)
       Why = RefusalReason::NoReplica;
     Longest = std::max(Longest, Wait.value_or(Duration(0)));
--- a/packages/coordination/src/coordination/run/RequestRun.h
+++ b/packages/coordination/src/coordination/run/RequestRun.h
@@ -89,6 +89,9 @@
   [[nodiscard]] std::size_t outstanding(const Target &Of) const;
   [[nodiscard]] bool mayHaveRun() const;
   [[nodiscard]] bool maySendAgain(const Target &Of) const;
+  /// @return Whether the attempt's replica may still get requests.
+  [[nodiscard]] bool isUsable(const Target &Of, const Attempt &Made,
+                              TimePoint Now) const;
   [[nodiscard]] std::vector<ServerName> usedReplicas(const Target &Of) const;
   [[nodiscard]] std::size_t servedCount() const;
   [[nodiscard]] bool hasLeastShare() const;
--- a/packages/coordination/test/coordination/run/RequestRunTest.cpp
+++ b/packages/coordination/test/coordination/run/RequestRunTest.cpp
@@ -189,6 +189,80 @@
   }
 }
 
+TEST_CASE(
+    "BUDGET: no attempt is sent to a replica during the pause that it asked "
+    "for, wherever the attempt waits") {
+  Fixture Made(1);
+  RequestRun Run = Made.makeRun();
+  auto Sent = pick<StartAttempt>(Run.start(Start));
+  const ServerName &Pausing = Sent.front().Replica;
+  TimePoint Told = Start + Milliseconds(50);
+  CHECK(Made.Fleet.onNotice(Pausing, {.RetryAfter = Milliseconds(500)}, Told));
+  TimePoint End = Told + Milliseconds(500);
+  CHECK_FALSE(Run.maySend(Sent.front().Id, End - Milliseconds(1)));
+  CHECK(Run.maySend(Sent.front().Id, End));
+  CHECK_FALSE(
+      Made.Fleet.onNotice(Pausing, {.RetryAfter = Milliseconds(100)}, Told));
+  for (int I = 0; I < 10; ++I) {
+    RequestRun Other = Made.makeRun();
+    auto First = pick<StartAttempt>(Other.start(Told));
+    REQUIRE(First.size() == 1);
+    CHECK(First.front().Replica != Pausing);
+  }
+}
+
+TEST_CASE(
+    "a request whose replicas all pause is refused until the first of them "
+    "returns") {
+  Fixture Made(1);
+  Made.Fleet.onNotice(ServerName("s0a"), {.RetryAfter = Milliseconds(200)},
+                      Start);
+  Made.Fleet.onNotice(ServerName("s0b"), {.RetryAfter = Milliseconds(900)},
+                      Start);
+  RequestRun Run = Made.makeRun();
+  auto Refused = pick<RefuseRequest>(Run.start(Start));
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused.front().Why == RefusalReason::ReplicasBusy);
+  CHECK(Refused.front().RetryAfter == Milliseconds(200));
+}
+
+TEST_CASE(
+    "BUDGET: no attempt is sent to a replica during the pause that it asked "
+    "for, wherever the attempt waits") {
+  Fixture Made(1);
+  RequestRun Run = Made.makeRun();
+  auto Sent = pick<StartAttempt>(Run.start(Start));
+  const ServerName &Pausing = Sent.front().Replica;
+  TimePoint Told = Start + Milliseconds(50);
+  CHECK(Made.Fleet.onNotice(Pausing, {.RetryAfter = Milliseconds(500)}, Told));
+  TimePoint End = Told + Milliseconds(500);
+  CHECK_FALSE(Run.maySend(Sent.front().Id, End - Milliseconds(1)));
+  CHECK(Run.maySend(Sent.front().Id, End));
+  CHECK_FALSE(
+      Made.Fleet.onNotice(Pausing, {.RetryAfter = Milliseconds(100)}, Told));
+  for (int I = 0; I < 10; ++I) {
+    RequestRun Other = Made.makeRun();
+    auto First = pick<StartAttempt>(Other.start(Told));
+    REQUIRE(First.size() == 1);
+    CHECK(First.front().Replica != Pausing);
+  }
+}
+
+TEST_CASE(
+    "a request whose replicas all pause is refused until the first of them "
+    "returns") {
+  Fixture Made(1);
+  Made.Fleet.onNotice(ServerName("s0a"), {.RetryAfter = Milliseconds(200)},
+                      Start);
+  Made.Fleet.onNotice(ServerName("s0b"), {.RetryAfter = Milliseconds(900)},
+                      Start);
+  RequestRun Run = Made.makeRun();
+  auto Refused = pick<RefuseRequest>(Run.start(Start));
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused.front().Why == RefusalReason::ReplicasBusy);
+  CHECK(Refused.front().RetryAfter == Milliseconds(200));
+}
+
 TEST_CASE("an attempt that was withdrawn is no sign against its replica") {
   Fixture Made(1);
   RequestRun Run = Made.makeRun();
--- a/packages/gateway/src/gateway/app/MetricsText.cpp
+++ b/packages/gateway/src/gateway/app/MetricsText.cpp
@@ -31,7 +31,7 @@
   addLine(Text, "attempts_refused_total", Counters.AttemptsRefused);
   addLine(Text, "attempts_lost_total", Counters.AttemptsLost);
   addLine(Text, "attempts_abandoned_total", Counters.AttemptsAbandoned);
-  addLine(Text, "attempts_to_leaving_total", Counters.AttemptsToLeaving);
+  addLine(Text, "attempts_withdrawn_total", Counters.AttemptsWithdrawn);
   addLine(Text, "replica_connections_opened_total", Counters.Connections);
   addLine(Text, "traffic_delay_milliseconds_max", Counters.LongestDelayMs);
   addLine(Text, "config_version", State.configVersion());
--- a/packages/gateway/src/gateway/pool/Exchange.h
+++ b/packages/gateway/src/gateway/pool/Exchange.h
@@ -4,7 +4,6 @@
 #include "core/time/Time.h"
 
 #include <functional>
-#include <optional>
 #include <string>
 #include <variant>
 
@@ -13,19 +12,25 @@
 /// @brief Error of a request that got no usable answer.
 struct ExchangeFailure {
   bool WasSent = true; ///< Whether some of it may have reached the replica.
-  bool IsWithdrawn = false; ///< Not sent, because Compose returned nothing.
+  bool IsWithdrawn = false; ///< Not sent, because MaySend returned false.
   std::string Why;
+
+  [[nodiscard]] static ExchangeFailure withdrawn() {
+    return {
+        .WasSent = false, .IsWithdrawn = true, .Why = "no longer to be sent"};
+  }
 };
 
 using ExchangeResult = std::variant<adapter::ReplicaReply, ExchangeFailure>;
 
 /// @brief One request to a replica.
 struct Exchange {
-  /// Called just before the first byte is sent: what was true when the request
-  /// began to wait for a connection may have changed.
-  /// @return The serialised request, or nothing if it must not be sent any
-  /// more.
-  std::function<std::optional<std::string>()> Compose;
+  /// Asked just before the first byte is sent, and while the request waits:
+  /// what was true when it began to wait for a connection may have changed.
+  std::function<bool()> MaySend = [] { return true; };
+  /// Called just before the first byte is sent.
+  /// @return The serialised request.
+  std::function<std::string()> Compose;
   std::string RequestId; ///< Request id that the answer must carry.
   bool IsHead = false;
   bool IsIdempotent = false;
--- a/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
@@ -96,10 +96,9 @@
 }
 
 void ReplicaConnection::write() {
-  std::optional<std::string> Text = m_Current->Compose();
-  if (!Text)
+  if (!m_Current->MaySend())
     return withdraw();
-  m_Text = std::move(*Text);
+  m_Text = m_Current->Compose();
   boost::asio::async_write(m_Socket, boost::asio::buffer(m_Text),
                            [Self = shared_from_this(), Serial = m_Serial](
                                error_code Failed, std::size_t Bytes) {
@@ -170,15 +169,14 @@
 void ReplicaConnection::withdraw() {
   // Posted, because Done may start the next waiting request on this connection,
   // which may be withdrawn as well.
-  boost::asio::post(m_Socket.get_executor(), [Self = shared_from_this(),
-                                              Serial = m_Serial] {
-    if (!Self->m_Current || Self->m_Serial != Serial)
-      return;
-    auto Done = std::move(Self->m_Current->Done);
-    Self->m_Current.reset();
-    Done(ExchangeFailure{
-        .WasSent = false, .IsWithdrawn = true, .Why = "no longer to be sent"});
-  });
+  boost::asio::post(m_Socket.get_executor(),
+                    [Self = shared_from_this(), Serial = m_Serial] {
+                      if (!Self->m_Current || Self->m_Serial != Serial)
+                        return;
+                      auto Done = std::move(Self->m_Current->Done);
+                      Self->m_Current.reset();
+                      Done(ExchangeFailure::withdrawn());
+                    });
 }
 
 void ReplicaConnection::fail(bool WasSent, const std::string &Why) {
--- a/packages/gateway/src/gateway/pool/ReplicaPool.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaPool.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace carawaypond::gateway {
@@ -110,6 +111,8 @@
 
 void ReplicaPool::startWaiting() {
   while (!m_Waiting.empty() && !m_IsRetired) {
+    if (!m_Waiting.front().Request.MaySend())
+      return recheckQueue();
     auto Free = acquire(m_Waiting.front().Request.IsIdempotent);
     if (!Free)
       return;
@@ -119,6 +122,30 @@
   }
 }
 
+void ReplicaPool::recheckQueue() {
+  // Posted, because Done of a withdrawn request may send it to another replica
+  // at once.
+  boost::asio::post(m_Context, [this, IsAlive = m_IsAlive] {
+    if (*IsAlive)
+      withdrawUnwanted();
+  });
+}
+
+void ReplicaPool::withdrawUnwanted() {
+  auto FirstUnwanted = std::stable_partition(
+      m_Waiting.begin(), m_Waiting.end(),
+      [](const Waiting &Each) { return Each.Request.MaySend(); });
+  std::vector<Waiting> Unwanted(std::make_move_iterator(FirstUnwanted),
+                                std::make_move_iterator(m_Waiting.end()));
+  m_Waiting.erase(FirstUnwanted, m_Waiting.end());
+  // Done may destroy the pool.
+  auto IsAlive = m_IsAlive;
+  for (Waiting &Each : Unwanted)
+    Each.Request.Done(ExchangeFailure::withdrawn());
+  if (*IsAlive)
+    startWaiting();
+}
+
 bool ReplicaPool::cancel(Ticket Which) {
   auto Queued =
       std::find_if(m_Waiting.begin(), m_Waiting.end(),
--- a/packages/gateway/src/gateway/pool/ReplicaPool.h
+++ b/packages/gateway/src/gateway/pool/ReplicaPool.h
@@ -41,6 +41,9 @@
   /// @brief Cancels a request; its Done is not called.
   /// @return False if it was still queued; otherwise the replica may run it.
   bool cancel(Ticket Which);
+  /// @brief Withdraws the queued requests that are no longer to be sent, soon
+  /// after the call.
+  void recheckQueue();
   /// @brief Retires the pool of a replica that is leaving or was removed:
   /// requests of which nothing was sent fail as not sent, the others continue.
   void retire();
@@ -63,6 +66,7 @@
              Exchange Request);
   void onDone(Ticket Id);
   void startWaiting();
+  void withdrawUnwanted();
   /// @brief Fails the requests that have not been sent.
   void failUnsentRequests();
 
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
@@ -93,6 +93,9 @@
   Request.RequestId = m_Asked.Id;
   Request.IsHead = m_Asked.IsHead;
   Request.IsIdempotent = m_Run.route().Kind == RequestKind::Idempotent;
+  Request.MaySend = [Self = shared_from_this(), Id = Action.Id] {
+    return Self->m_Run.maySend(Id, monotonicNow());
+  };
   Request.Compose = [Self = shared_from_this(), Id = Action.Id] {
     return Self->compose(Id);
   };
@@ -160,32 +163,23 @@
                              "the request may have run"));
 }
 
-std::optional<std::string> ActiveRequest::compose(SubrequestId Id) {
-  AttemptState *Attempt = find(Id);
+std::string ActiveRequest::compose(SubrequestId Id) {
+  AttemptState &Attempt = *find(Id);
   TimePoint Now = monotonicNow();
-  if (Attempt == nullptr || !m_Run.maySend(Id, Now))
-    return std::nullopt;
-  Attempt->WrittenAt = Now;
-  Attempt->TimeGiven = m_Run.timeLeft(Now);
-  logIfLeaving(*Attempt, Now);
-  return adapter::encodeSubrequest(m_Asked, Attempt->Started.Replica,
-                                   Attempt->TimeGiven);
+  Attempt.WrittenAt = Now;
+  Attempt.TimeGiven = m_Run.timeLeft(Now);
+  return adapter::encodeSubrequest(m_Asked, Attempt.Started.Replica,
+                                   Attempt.TimeGiven);
 }
 
-void ActiveRequest::logIfLeaving(const AttemptState &Attempt, TimePoint Now) {
-  const ReplicaTracker *Gauge = m_Shared.Fleet.service(Attempt.Started.Service)
-                                    .find(Attempt.Started.Replica);
-  if (Gauge != nullptr && Gauge->record().State == ReplicaState::Serving)
+void ActiveRequest::onNotice(const AttemptState &Attempt,
+                             const ReplicaNotice &Told) {
+  const ServerName &Replica = Attempt.Started.Replica;
+  if (!m_Shared.Fleet.onNotice(Replica, Told, monotonicNow()))
     return;
-  ++m_Shared.Counters.AttemptsToLeaving;
-  LogLine Line("sent_to_leaving");
-  Line.add("request", m_Asked.Id);
-  Line.add("replica", Attempt.Started.Replica.value());
-  Line.add("known", Gauge != nullptr);
-  Line.add(
-      "queued_ms",
-      std::chrono::duration_cast<Milliseconds>(Now - Attempt.SentAt).count());
-  m_Shared.Log.write(Line);
+  m_Shared.Log.write(describeNotice(Replica, Told));
+  if (Attempt.Pool)
+    Attempt.Pool->recheckQueue();
 }
 
 void ActiveRequest::onExchange(SubrequestId Id, ExchangeResult How) {
@@ -195,6 +189,7 @@
     return end(Id, resultOf(*Failure));
   }
   Attempt->Reply = std::move(std::get<adapter::ReplicaReply>(How));
+  onNotice(*Attempt, Attempt->Reply->Notice);
   end(Id, classify(*Attempt->Reply));
 }
 
@@ -208,6 +203,8 @@
                                   Now - Attempt->SentAt);
   if (How == AttemptResult::NotRun)
     ++m_Shared.Counters.AttemptsRefused;
+  if (How == AttemptResult::Withdrawn)
+    ++m_Shared.Counters.AttemptsWithdrawn;
   if (How == AttemptResult::Lost)
     ++m_Shared.Counters.AttemptsLost;
   if (How == AttemptResult::Abandoned)
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.h
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.h
@@ -56,11 +56,10 @@
   void apply(const RelayReply &Action);
   void apply(const RefuseRequest &Action);
   void apply(const FailRequest &Action);
-  /// @return The attempt's subrequest as it is to be sent now; nothing if it is
-  /// not to be sent any more.
-  std::optional<std::string> compose(SubrequestId Id);
-  /// @brief Logs the attempt if its replica is leaving or unknown.
-  void logIfLeaving(const AttemptState &Attempt, TimePoint Now);
+  /// @return The attempt's subrequest as it is to be sent now.
+  std::string compose(SubrequestId Id);
+  /// @brief Takes in what the attempt's replica says about itself.
+  void onNotice(const AttemptState &Attempt, const ReplicaNotice &Told);
   void onExchange(SubrequestId Id, ExchangeResult How);
   void end(SubrequestId Id, AttemptResult How);
   void abandonExpired(TimePoint Now);
--- a/packages/gateway/src/gateway/traffic/RequestLog.cpp
+++ b/packages/gateway/src/gateway/traffic/RequestLog.cpp
@@ -112,6 +112,14 @@
   return XXH64(RequestId.data(), RequestId.size(), 0) % RequestsPerSample == 0;
 }
 
+LogLine describeNotice(const ServerName &Replica, const ReplicaNotice &Told) {
+  LogLine Line("replica_notice");
+  Line.add("replica", Replica.value());
+  if (Told.RetryAfter)
+    Line.add("retry_after_ms", Told.RetryAfter->count());
+  return Line;
+}
+
 LogLine describeRequest(const adapter::CallerRequest &Asked,
                         const RequestRun &Run,
                         const std::vector<AttemptState> &Attempts,
--- a/packages/gateway/src/gateway/traffic/RequestLog.h
+++ b/packages/gateway/src/gateway/traffic/RequestLog.h
@@ -19,6 +19,10 @@
 /// same ones.
 [[nodiscard]] bool isSampled(std::string_view RequestId);
 
+/// @return The log line of what @p Replica says about itself.
+[[nodiscard]] LogLine describeNotice(const ServerName &Replica,
+                                     const ReplicaNotice &Told);
+
 /// @brief Outcome of a request, for its log line.
 struct RequestEnd {
   std::string_view Outcome;
--- a/packages/gateway/src/gateway/traffic/TrafficCounters.h
+++ b/packages/gateway/src/gateway/traffic/TrafficCounters.h
@@ -24,7 +24,7 @@
   Counter AttemptsRefused = 0;
   Counter AttemptsLost = 0;
   Counter AttemptsAbandoned = 0;
-  Counter AttemptsToLeaving = 0; ///< Sent to a leaving or removed replica.
+  Counter AttemptsWithdrawn = 0; ///< Not needed any more, or not allowed.
   Counter Connections = 0;       ///< Connections opened to replicas.
   Counter LongestDelayMs = 0;    ///< By which a timer of the thread ran late.
 };
