DRAIN: a replica that says in an answer that it leaves gets no new request

Nothing read that header, so that a VM cut off from the store went on sending to replicas that had told it that they leave.

A newer incarnation starts afresh.

--- a/packages/coordination/src/coordination/placement/ReplicaNotice.h
+++ b/packages/coordination/src/coordination/placement/ReplicaNotice.h
@@ -8,6 +8,7 @@
 
 /// @brief What a replica says about itself in one answer.
 struct ReplicaNotice {
+  bool IsLeaving = false;
   /// How long it wants no requests from this VM.
   std::optional<Milliseconds> RetryAfter;
 };
--- a/packages/coordination/src/coordination/placement/ReplicaNotices.h
+++ b/packages/coordination/src/coordination/placement/ReplicaNotices.h
@@ -11,8 +11,10 @@
 public:
   /// @return Whether it may get requests at @p Now.
   [[nodiscard]] bool allowRequests(TimePoint Now) const {
-    return Now >= m_PausedUntil;
+    return !m_IsLeaving && Now >= m_PausedUntil;
   }
+  /// @return Whether it has said that it leaves.
+  [[nodiscard]] bool isLeaving() const { return m_IsLeaving; }
   /// @return The end of the pause that it has asked for; in the past if there
   /// is none.
   [[nodiscard]] TimePoint pausedUntil() const { return m_PausedUntil; }
@@ -22,6 +24,7 @@
   bool apply(const ReplicaNotice &Told, TimePoint Now);
 
 private:
+  bool m_IsLeaving = false;
   TimePoint m_PausedUntil;
 };
 
--- a/packages/coordination/src/coordination/placement/ServiceFleet.cpp
+++ b/packages/coordination/src/coordination/placement/ServiceFleet.cpp
@@ -39,7 +39,8 @@
   std::optional<Duration> Least;
   for (const auto &[Id, Gauge] : m_Replicas) {
     TimePoint End = Gauge.notices().pausedUntil();
-    bool IsServing = Gauge.record().State == ReplicaState::Serving;
+    bool IsServing = Gauge.record().State == ReplicaState::Serving &&
+                     !Gauge.notices().isLeaving();
     if (IsServing && End > Now)
       Least = std::min(Least.value_or(End - Now), End - Now);
   }
--- a/packages/coordination/test/coordination/run/RequestRunTest.cpp
+++ b/packages/coordination/test/coordination/run/RequestRunTest.cpp
@@ -226,6 +226,31 @@
   CHECK(Refused.front().RetryAfter == Milliseconds(200));
 }
 
+TEST_CASE(
+    "DRAIN: what a replica said about itself outlasts the loss of its record, "
+    "but not its incarnation") {
+  Fixture Made(1);
+  std::vector<ReplicaRecord> Both;
+  for (const auto &[Id, Gauge] :
+       Made.Fleet.service(Made.Shards.front()).replicas())
+    Both.push_back(Gauge.record());
+  Made.Fleet.onNotice(Both[0].Id, {.IsLeaving = true}, Start);
+  ServiceFleet &Service = Made.Fleet.service(Made.Shards.front());
+  CHECK_FALSE(Service.find(Both[0].Id)->isUsable(Start));
+
+  Made.Fleet.replace({Both[1]}, Start);
+  Made.Fleet.replace(Both, Start + Milliseconds(1'500));
+  CHECK_FALSE(Service.find(Both[0].Id)->isUsable(Start + Milliseconds(1'500)));
+
+  SUBCASE("a new incarnation replaces its record") {}
+  SUBCASE("a new incarnation comes after its record was removed") {
+    Made.Fleet.replace({Both[1]}, Start + Milliseconds(1'600));
+  }
+  Both[0].StartedAt += 1;
+  Made.Fleet.replace(Both, Start + Milliseconds(2'000));
+  CHECK(Service.find(Both[0].Id)->isUsable(Start + Milliseconds(2'000)));
+}
+
 TEST_CASE(
     "BUDGET: no attempt is sent to a replica during the pause that it asked "
     "for, wherever the attempt waits") {
@@ -263,6 +288,31 @@
   CHECK(Refused.front().RetryAfter == Milliseconds(200));
 }
 
+TEST_CASE(
+    "DRAIN: what a replica said about itself outlasts the loss of its record "
+    "but not its incarnation") {
+  Fixture Made(1);
+  std::vector<ReplicaRecord> Both;
+  for (const auto &[Id, Gauge] :
+       Made.Fleet.service(Made.Shards.front()).replicas())
+    Both.push_back(Gauge.record());
+  Made.Fleet.onNotice(Both[0].Id, {.IsLeaving = true}, Start);
+  ServiceFleet &Service = Made.Fleet.service(Made.Shards.front());
+  CHECK_FALSE(Service.find(Both[0].Id)->isUsable(Start));
+
+  Made.Fleet.replace({Both[1]}, Start);
+  Made.Fleet.replace(Both, Start + Milliseconds(1'500));
+  CHECK_FALSE(Service.find(Both[0].Id)->isUsable(Start + Milliseconds(1'500)));
+
+  SUBCASE("a new incarnation replaces its record") {}
+  SUBCASE("a new incarnation comes after its record was removed") {
+    Made.Fleet.replace({Both[1]}, Start + Milliseconds(1'600));
+  }
+  Both[0].StartedAt += 1;
+  Made.Fleet.replace(Both, Start + Milliseconds(2'000));
+  CHECK(Service.find(Both[0].Id)->isUsable(Start + Milliseconds(2'000)));
+}
+
 TEST_CASE("an attempt that was withdrawn is no sign against its replica") {
   Fixture Made(1);
   RequestRun Run = Made.makeRun();
--- a/packages/gateway/src/gateway/traffic/RequestLog.cpp
+++ b/packages/gateway/src/gateway/traffic/RequestLog.cpp
@@ -115,6 +115,7 @@
 LogLine describeNotice(const ServerName &Replica, const ReplicaNotice &Told) {
   LogLine Line("replica_notice");
   Line.add("replica", Replica.value());
+  Line.add("leaving", Told.IsLeaving);
   if (Told.RetryAfter)
     Line.add("retry_after_ms", Told.RetryAfter->count());
   return Line;
--- a/packages/gateway/test/gateway/traffic/ReplicaNoticeTest.cpp
+++ b/packages/gateway/test/gateway/traffic/ReplicaNoticeTest.cpp
@@ -43,6 +43,32 @@
 
 } // namespace
 
+TEST_CASE("DRAIN: a replica that says in an answer that it leaves gets no new "
+          "request") {
+  Fixture Made;
+  Made.Speaking.Answer = [&](const http::Request &Asked) {
+    http::Response Answer = Made.Proper(Asked);
+    Answer.Headers.push_back({.Name = "Server-Leaving", .Value = "1"});
+    return Answer;
+  };
+  RunningGateway Gateway(Made.Site.settings("vm1"));
+  REQUIRE(Gateway.awaitReady());
+  SUBCASE("while the store answers") {}
+  SUBCASE("while the store is down") { Made.Site.setStoreDown(true); }
+
+  CHECK(Fixture::askMany(Gateway) == 0);
+  CHECK(Made.Speaking.Arrivals == 1);
+
+  // Its entry disappears and returns, as around an outage of the store.
+  Made.Site.setStoreDown(false);
+  Made.Site.remove("servers", Made.Speaking.Id);
+  std::this_thread::sleep_for(Milliseconds(2'000));
+  Made.Site.putEntry(Made.Speaking, "ready", 2);
+  std::this_thread::sleep_for(Milliseconds(1'000));
+  CHECK(Fixture::askMany(Gateway) == 0);
+  CHECK(Made.Speaking.Arrivals == 1);
+}
+
 TEST_CASE(
     "BUDGET: a replica that refuses with Retry-After gets no request until "
     "then") {
