Known red: requests beyond a replica's limit; the limit is decoded and logged

The failing test of LIMIT: two VMs send a replica that names 10 requests a second 390 in 4 s; the users' rule allows 65. platform/ decodes the limit, and replica_notice shows when a VM is told and when it ends; nothing acts on it yet.

--- a/packages/coordination/src/coordination/placement/ReplicaNotice.h
+++ b/packages/coordination/src/coordination/placement/ReplicaNotice.h
@@ -11,6 +11,8 @@
   bool IsLeaving = false;
   /// How long it wants no requests from this VM.
   std::optional<Milliseconds> RetryAfter;
+  /// The requests per second that it takes from all VMs together.
+  std::optional<double> Limit;
 };
 
 } // namespace carawaypond
--- a/packages/coordination/src/coordination/placement/ReplicaNotices.cpp
+++ b/packages/coordination/src/coordination/placement/ReplicaNotices.cpp
@@ -12,6 +12,10 @@
     m_PausedUntil = Now + *Told.RetryAfter;
     HasChanged = true;
   }
+  if (Told.Limit != m_Limit) {
+    m_Limit = Told.Limit;
+    HasChanged = true;
+  }
   return HasChanged;
 }
 
--- a/packages/coordination/src/coordination/placement/ReplicaNotices.h
+++ b/packages/coordination/src/coordination/placement/ReplicaNotices.h
@@ -3,6 +3,8 @@
 #include "coordination/placement/ReplicaNotice.h"
 #include "core/time/Time.h"
 
+#include <optional>
+
 namespace carawaypond {
 
 /// @brief What one incarnation of a replica has said about itself in its
@@ -19,6 +21,10 @@
   /// is none.
   [[nodiscard]] TimePoint pausedUntil() const { return m_PausedUntil; }
 
+  /// @return The requests per second that it takes from all VMs together;
+  /// nothing if it names no limit.
+  [[nodiscard]] std::optional<double> limit() const { return m_Limit; }
+
   /// @brief Takes in the notice of an answer that arrived at @p Now.
   /// @return Whether it changes when the replica may get requests.
   bool apply(const ReplicaNotice &Told, TimePoint Now);
@@ -26,6 +32,7 @@
 private:
   bool m_IsLeaving = false;
   TimePoint m_PausedUntil;
+  std::optional<double> m_Limit;
 };
 
 } // namespace carawaypond
--- a/packages/gateway/src/gateway/traffic/RequestLog.cpp
+++ b/packages/gateway/src/gateway/traffic/RequestLog.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <array>
+#include <cmath>
 #include <cstdio>
 
 namespace carawaypond::gateway {
@@ -118,6 +119,9 @@
   Line.add("leaving", Told.IsLeaving);
   if (Told.RetryAfter)
     Line.add("retry_after_ms", Told.RetryAfter->count());
+  if (Told.Limit)
+    Line.add("limit_per_1000s",
+             static_cast<std::int64_t>(std::llround(*Told.Limit * 1'000)));
   return Line;
 }
 
