LIMIT: a replica that names a limit gets no more than that from all VMs together

Cause: nothing acted on the limit. Class: a resource of all VMs that is bounded only by what each VM sees by itself.

Change: while a replica names a limit each VM sends it its share of it, the share of the load that budgets and connections use already (TokenBucket in ReplicaNotices, with a phase of its own for each VM). A request takes a token as a replica is chosen and gives it back if nothing was sent; a hedge leaves one. A request whose shards have no room is refused at once with the time of the next token. A signed answer without a limit ends it.

--- a/packages/coordination/src/coordination/budget/fwd.h
+++ b/packages/coordination/src/coordination/budget/fwd.h
@@ -3,6 +3,7 @@
 namespace carawaypond {
 
 class ArrivalBudget;
+class TokenBucket;
 class ExtraLoadBudget;
 struct ArrivalBudgetOptions;
 struct ExtraLoadOptions;
--- /dev/null
+++ b/packages/coordination/src/coordination/placement/LimitShare.h
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace carawaypond {
+
+/// @brief This VM's part of a limit that holds for all VMs together.
+struct LimitShare {
+  double Part = 1; ///< Of the limit, from 0 to 1.
+  /// From 0 to 1, different for each VM. VMs that learn of a limit at the same
+  /// moment would otherwise all send their first request at the same moment.
+  double Phase = 0;
+};
+
+} // namespace carawaypond
--- a/packages/coordination/src/coordination/placement/PlacementOptions.h
+++ b/packages/coordination/src/coordination/placement/PlacementOptions.h
@@ -28,6 +28,7 @@
   /// Stall threshold, in multiples of the expected latency.
   double StallFactor = 3;
   ArrivalBudgetOptions Budget;
+  double LimitPhase = 0; ///< LimitShare::Phase of this VM.
 };
 
 } // namespace carawaypond
--- a/packages/coordination/src/coordination/placement/ReplicaFleet.cpp
+++ b/packages/coordination/src/coordination/placement/ReplicaFleet.cpp
@@ -74,7 +74,9 @@
   auto Known = m_ServiceOf.find(Replica);
   if (Known == m_ServiceOf.end())
     return false;
-  return service(Known->second).find(Replica)->onNotice(Told, Now);
+  return service(Known->second)
+      .find(Replica)
+      ->onNotice(Told, {.Part = m_Share, .Phase = m_Options.LimitPhase}, Now);
 }
 
 } // namespace carawaypond
--- a/packages/coordination/src/coordination/placement/ReplicaNotice.h
+++ b/packages/coordination/src/coordination/placement/ReplicaNotice.h
@@ -13,6 +13,8 @@
   std::optional<Milliseconds> RetryAfter;
   /// The requests per second that it takes from all VMs together.
   std::optional<double> Limit;
+  /// The replica signed the answer and named no limit in it.
+  bool EndsLimit = false;
 };
 
 } // namespace carawaypond
--- a/packages/coordination/src/coordination/placement/ReplicaNotices.h
+++ b/packages/coordination/src/coordination/placement/ReplicaNotices.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "coordination/budget/TokenBucket.h"
+#include "coordination/placement/LimitShare.h"
 #include "coordination/placement/ReplicaNotice.h"
 #include "core/time/Time.h"
 
@@ -17,22 +19,33 @@
   }
   /// @return Whether it has said that it leaves.
   [[nodiscard]] bool isLeaving() const { return m_IsLeaving; }
-  /// @return The end of the pause that it has asked for; in the past if there
-  /// is none.
-  [[nodiscard]] TimePoint pausedUntil() const { return m_PausedUntil; }
-
+  /// @return Whether its limit, if it names one, leaves this VM a request now,
+  /// and @p Reserve more.
+  [[nodiscard]] bool hasRoom(TimePoint Now, double Reserve = 0) const;
+  /// @return How long until its pause and its limit allow a request.
+  [[nodiscard]] Duration untilAllowed(TimePoint Now) const;
   /// @return The requests per second that it takes from all VMs together;
   /// nothing if it names no limit.
   [[nodiscard]] std::optional<double> limit() const { return m_Limit; }
 
   /// @brief Takes in the notice of an answer that arrived at @p Now.
+  /// @param Own This VM's share of what all VMs may send.
   /// @return Whether it changes when the replica may get requests.
-  bool apply(const ReplicaNotice &Told, TimePoint Now);
+  bool apply(const ReplicaNotice &Told, const LimitShare &Own, TimePoint Now);
+  /// @brief Counts a request against the limit.
+  void onSent(TimePoint Now);
+  /// @brief Takes back the count of a request of which nothing was sent.
+  void onUnsent(TimePoint Now);
 
 private:
+  bool applyLimit(const ReplicaNotice &Told, const LimitShare &Own,
+                  TimePoint Now);
+
   bool m_IsLeaving = false;
   TimePoint m_PausedUntil;
   std::optional<double> m_Limit;
+  /// This VM's part of the limit; set while the replica names one.
+  std::optional<TokenBucket> m_Tokens;
 };
 
 } // namespace carawaypond
--- a/packages/coordination/src/coordination/placement/ReplicaTracker.cpp
+++ b/packages/coordination/src/coordination/placement/ReplicaTracker.cpp
@@ -118,12 +118,14 @@
   m_Record = std::move(Record);
 }
 
-bool ReplicaTracker::onNotice(const ReplicaNotice &Told, TimePoint Now) {
-  return m_Notices.apply(Told, Now);
+bool ReplicaTracker::onNotice(const ReplicaNotice &Told, const LimitShare &Own,
+                              TimePoint Now) {
+  return m_Notices.apply(Told, Own, Now);
 }
 
 void ReplicaTracker::onSent(SubrequestId Id, Duration Expected, TimePoint Now) {
   m_Pending.push_back({.Id = Id, .SentAt = Now, .Expected = Expected});
+  m_Notices.onSent(Now);
 }
 
 std::optional<Duration> ReplicaTracker::onEnded(SubrequestId Id,
@@ -141,6 +143,8 @@
   double Ratio = ratio(Latency, Ended.Expected);
   if (isFromReplica(How))
     m_LastAnswer = Now;
+  if (How == AttemptResult::NeverSent || How == AttemptResult::Withdrawn)
+    m_Notices.onUnsent(Now);
   switch (How) {
   case AttemptResult::Served:
     recordSlowness(Ratio, Options, Now);
--- a/packages/coordination/src/coordination/placement/ReplicaTracker.h
+++ b/packages/coordination/src/coordination/placement/ReplicaTracker.h
@@ -21,8 +21,12 @@
 
   [[nodiscard]] const ReplicaRecord &record() const { return m_Record; }
   [[nodiscard]] std::size_t outstanding() const { return m_Pending.size(); }
-  /// @return Whether it may get requests.
+  /// @return Whether it may get requests, apart from a limit that it names.
   [[nodiscard]] bool isUsable(TimePoint Now) const;
+  /// @return Whether it may get another request now.
+  [[nodiscard]] bool acceptsRequest(TimePoint Now) const {
+    return isUsable(Now) && m_Notices.hasRoom(Now);
+  }
   /// @return Whether a request has been outstanding for longer than is normal,
   /// and the replica has answered nothing in that time.
   [[nodiscard]] bool isStalled(const PlacementOptions &Options,
@@ -48,8 +52,10 @@
 
   void update(ReplicaRecord Record, TimePoint Now);
   /// @brief Takes in what it says about itself in an answer.
+  /// @param Own This VM's share of what all VMs may send to it.
   /// @return Whether that changes when it may get requests.
-  bool onNotice(const ReplicaNotice &Told, TimePoint Now);
+  bool onNotice(const ReplicaNotice &Told, const LimitShare &Own,
+                TimePoint Now);
   /// @brief Restores what the same incarnation has said before.
   void restore(const ReplicaNotices &Said) { m_Notices = Said; }
   /// @param Expected The normal latency of such a request.
--- a/packages/coordination/src/coordination/placement/ServiceFleet.cpp
+++ b/packages/coordination/src/coordination/placement/ServiceFleet.cpp
@@ -16,7 +16,7 @@
   for (auto &[Id, Gauge] : m_Replicas) {
     bool IsExcluded =
         std::find(Excluded.begin(), Excluded.end(), Id) != Excluded.end();
-    if (!IsExcluded && Gauge.isUsable(Now))
+    if (!IsExcluded && Gauge.acceptsRequest(Now))
       Usable.push_back(&Gauge);
   }
   if (Usable.empty())
@@ -38,11 +38,11 @@
 std::optional<Duration> ServiceFleet::leastPause(TimePoint Now) const {
   std::optional<Duration> Least;
   for (const auto &[Id, Gauge] : m_Replicas) {
-    TimePoint End = Gauge.notices().pausedUntil();
+    Duration Pause = Gauge.notices().untilAllowed(Now);
     bool IsServing = Gauge.record().State == ReplicaState::Serving &&
                      !Gauge.notices().isLeaving();
-    if (IsServing && End > Now)
-      Least = std::min(Least.value_or(End - Now), End - Now);
+    if (IsServing && Pause > Duration(0))
+      Least = std::min(Least.value_or(Pause), Pause);
   }
   return Least;
 }
--- a/packages/coordination/src/coordination/placement/ServiceFleet.h
+++ b/packages/coordination/src/coordination/placement/ServiceFleet.h
@@ -24,14 +24,14 @@
   /// @return The gauge of @p Id, or null.
   [[nodiscard]] ReplicaTracker *find(const ServerName &Id);
   [[nodiscard]] ArrivalBudget &budget() { return m_Budget; }
-  /// @return The usable replica of the least cost that is not in @p Excluded,
-  /// or null. Leaving replicas are not usable.
+  /// @return The replica of the least cost that may get a request now and is
+  /// not in @p Excluded, or null.
   [[nodiscard]] ReplicaTracker *
   cheapest(const std::vector<ServerName> &Excluded,
            const PlacementOptions &Options, TimePoint Now);
 
-  /// @return How long until the first of the replicas that have asked for a
-  /// pause may get requests again; nothing if none has.
+  /// @return How long until the first of the replicas that pause, or whose
+  /// limit is reached, may get a request; nothing if there is none of these.
   [[nodiscard]] std::optional<Duration> leastPause(TimePoint Now) const;
 
   void put(const ReplicaRecord &Record, TimePoint Now);
--- a/packages/coordination/src/coordination/placement/fwd.h
+++ b/packages/coordination/src/coordination/placement/fwd.h
@@ -4,6 +4,7 @@
 
 enum class AttemptResult;
 enum class ReplicaHealth;
+struct LimitShare;
 struct PlacementOptions;
 struct ReplicaNotice;
 class ReplicaFleet;
--- a/packages/coordination/src/coordination/run/RequestRun.cpp
+++ b/packages/coordination/src/coordination/run/RequestRun.cpp
@@ -139,7 +139,7 @@
                                               TimePoint Now) const {
   std::optional<Duration> Least;
   for (const auto &[Id, Gauge] : m_Fleet.service(Of.Service).replicas()) {
-    if (!Gauge.isUsable(Now))
+    if (!Gauge.acceptsRequest(Now))
       continue;
     Duration Wait =
         Gauge.expectedWait(m_Latency.median(), m_Fleet.options(), Now);
@@ -194,7 +194,10 @@
     Replica = Service.cheapest({}, m_Fleet.options(), Now);
   if (Replica == nullptr)
     return false;
-  double Reserve = Why == AttemptReason::Retry ? 0 : m_Options.HedgeReserve;
+  bool IsHedge = Why != AttemptReason::Retry;
+  if (IsHedge && !Replica->notices().hasRoom(Now, m_Options.HedgeLimitReserve))
+    return false;
+  double Reserve = IsHedge ? m_Options.HedgeReserve : 0;
   if (!Service.budget().trySpend(m_Fleet.share(), Reserve, Now)) {
     m_WasBudgetExhausted = true;
     return false;
--- a/packages/coordination/src/coordination/run/RunOptions.h
+++ b/packages/coordination/src/coordination/run/RunOptions.h
@@ -21,6 +21,8 @@
   double LateWaitShare = 0.5;
   /// Extra arrivals of the budget that hedges leave for retries.
   double HedgeReserve = 2;
+  /// Requests that a hedge leaves of what a replica's limit allows.
+  double HedgeLimitReserve = 1;
 };
 
 } // namespace carawaypond
--- a/packages/gateway/src/gateway/app/Gateway.cpp
+++ b/packages/gateway/src/gateway/app/Gateway.cpp
@@ -23,6 +23,7 @@
 
 #include <atomic>
 #include <csignal>
+#include <random>
 #include <thread>
 
 namespace carawaypond::gateway {
@@ -58,6 +59,12 @@
   return Incarnation(static_cast<std::uint64_t>(Micros));
 }
 
+/// @return A random number from 0 to 1.
+double randomPart() {
+  std::random_device Source;
+  return std::uniform_real_distribution<double>()(Source);
+}
+
 TrafficOptions trafficOptions(const adapter::SiteSettings &Settings) {
   TrafficOptions Options;
   Options.CallerAddress = Settings.CallerAddress;
@@ -68,6 +75,7 @@
   Options.Pool.MaxBodyBytes = Options.Pool.MaxReplyMemory / ReplyMemoryDivisor;
   Options.Placement.Centre = Settings.Centre;
   Options.Placement.Budget = Settings.Budget;
+  Options.Placement.LimitPhase = randomPart();
   return Options;
 }
 
