--- a/packages/gateway/test/gateway/pool/ReplicaConnectionTest.cpp
+++ b/packages/gateway/test/gateway/pool/ReplicaConnectionTest.cpp
@@ -55,6 +55,8 @@
   boost::asio::write(Peer, boost::asio::buffer(Text));
   if (How == Ending::Reset)
     Peer.set_option(boost::asio::socket_base::linger(true, 0));
+  // The destructor would not send a reset.
+  Peer.close();
 }
 
 /// @return How a request ends to which @p Text is all of the answer.
