LOST: a stopping VM answers what it has taken before it exits

It can happen here: what was in flight at the end of the grace, at a replica that doesn't answer or in a pool's queue, was cut as the process ended, and the VM took requests until 1.4 s before its kill whose callers would wait longer.

Cause: the stop bounded how long the VM waits, not how long what it takes may last. Change: once no caller should hold its address any more, the VM refuses what may outlast it (a caller finds another VM); 0.7 s before its kill it answers what is left by RequestRun::onStopping: with the shards that are in if they suffice, as not run if nothing was sent, else as failed.

--- a/packages/coordination/src/coordination/run/RequestRun.cpp
+++ b/packages/coordination/src/coordination/run/RequestRun.cpp
@@ -26,9 +26,9 @@
   const RequestRoute &Chosen = *m_Plan.Chosen;
   m_ObjectiveAt = ReceivedAt + Chosen.Objective - m_Plan.AlreadyWaited -
                   m_Options.CallerAllowance;
-  Milliseconds Patience = std::min(m_Plan.CallerTimeout, Chosen.Timeout);
-  m_Deadline = ReceivedAt +
-               std::max(Patience - m_Options.AnswerAllowance, Milliseconds(1));
+  m_Deadline =
+      ReceivedAt +
+      std::max(m_Plan.timeout() - m_Options.AnswerAllowance, Milliseconds(1));
   m_Targets.reserve(m_Plan.Services.size());
   for (const ServiceName &Each : m_Plan.Services)
     m_Targets.push_back({.Service = Each});
@@ -288,6 +288,19 @@
   return Out;
 }
 
+RunActions RequestRun::onStopping(TimePoint Now) {
+  RunActions Out;
+  if (m_IsAnswered)
+    return Out;
+  if (isScatterGather() && hasLeastShare())
+    answerParts(Out, Now);
+  else if (mayHaveRun())
+    finish(FailRequest{.Why = FailureReason::Leaving}, Duration(0), Out);
+  else
+    refuse(RefusalReason::Leaving, Duration(0), Out, Now);
+  return Out;
+}
+
 void RequestRun::decide(RunActions &Out, TimePoint Now) {
   if (m_IsAnswered)
     return;
@@ -333,7 +346,7 @@
   finish(std::move(Answer), Grace, Out);
 }
 
-void RequestRun::refuse(RunActions &Out, TimePoint Now) {
+void RequestRun::refuseForReplicas(RunActions &Out, TimePoint Now) {
   RefusalReason Why = RefusalReason::ReplicasBusy;
   Duration Longest{};
   for (const Target &Each : m_Targets) {
@@ -344,16 +357,21 @@
       Why = RefusalReason::NoReplica;
     Longest = std::max(Longest, Wait.value_or(Duration(0)));
   }
+  refuse(Why, Longest, Out, Now);
+}
+
+void RequestRun::refuse(RefusalReason Why, Duration Wait, RunActions &Out,
+                        TimePoint Now) {
   auto Left = m_Plan.CallerTimeout -
               std::chrono::duration_cast<Milliseconds>(Now - m_StartedAt);
   Milliseconds RetryAfter =
-      m_Fleet.retryAdvice(route()).retryAfter(Why, Left, Longest, Now);
+      m_Fleet.retryAdvice(route()).retryAfter(Why, Left, Wait, Now);
   finish(RefuseRequest{.Why = Why, .RetryAfter = RetryAfter}, Duration(0), Out);
 }
 
 void RequestRun::answerFailure(RunActions &Out, TimePoint Now) {
   if (!mayHaveRun())
-    return refuse(Out, Now);
+    return refuseForReplicas(Out, Now);
   if (!isScatterGather() && m_Targets.front().Failed)
     return finish(RelayReply{.Attempt = *m_Targets.front().Failed},
                   m_Options.LoserGrace, Out);
--- a/packages/coordination/src/coordination/run/RequestRun.h
+++ b/packages/coordination/src/coordination/run/RequestRun.h
@@ -9,6 +9,7 @@
 #include "core/id/Ids.h"
 #include "core/time/Time.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -22,6 +23,12 @@
   std::vector<ServiceName> Services; ///< One service, or every shard.
   Milliseconds CallerTimeout{0};     ///< How long the caller waits.
   Milliseconds AlreadyWaited{0};     ///< By the caller, in earlier tries.
+
+  /// @return How long the request may take: as long as its caller waits and its
+  /// route allows.
+  [[nodiscard]] Milliseconds timeout() const {
+    return std::min(CallerTimeout, Chosen->Timeout);
+  }
 };
 
 /// @brief Executes one request: sends it to one replica of each service, hedges
@@ -67,6 +74,8 @@
   RunActions onEnded(SubrequestId Id, AttemptResult How, TimePoint Now);
   RunActions onTick(TimePoint Now);
   RunActions onCallerGone(TimePoint Now);
+  /// @brief Ends the request, as this VM exits.
+  RunActions onStopping(TimePoint Now);
 
 private:
   struct Attempt {
@@ -108,7 +117,10 @@
   void send(Target &To, ReplicaTracker &Replica, AttemptReason Why,
             RunActions &Out, TimePoint Now);
   bool sendExtra(Target &To, AttemptReason Why, RunActions &Out, TimePoint Now);
-  void refuse(RunActions &Out, TimePoint Now);
+  /// @brief Refuses, as too few shards have a replica that can serve in time.
+  void refuseForReplicas(RunActions &Out, TimePoint Now);
+  /// @param Wait Expected time until a retry can be served.
+  void refuse(RefusalReason Why, Duration Wait, RunActions &Out, TimePoint Now);
   void hedge(RunActions &Out, TimePoint Now);
   void decide(RunActions &Out, TimePoint Now);
   void answerParts(RunActions &Out, TimePoint Now);
--- a/packages/coordination/src/coordination/run/RunActions.h
+++ b/packages/coordination/src/coordination/run/RunActions.h
@@ -54,7 +54,7 @@
   Milliseconds RetryAfter{0};
 };
 
-enum class FailureReason { ReplicaLost, TimedOut, TooFewShards };
+enum class FailureReason { ReplicaLost, TimedOut, TooFewShards, Leaving };
 
 /// @brief Answer that the request failed and may have run.
 struct FailRequest {
--- a/packages/coordination/test/coordination/run/RequestRunTest.cpp
+++ b/packages/coordination/test/coordination/run/RequestRunTest.cpp
@@ -313,6 +313,30 @@
   CHECK(Service.find(Both[0].Id)->isUsable(Start + Milliseconds(2'000)));
 }
 
+TEST_CASE("LOST: a request is answered truthfully when its VM exits") {
+  Fixture Made(20);
+  RequestRun Run = Made.makeRun();
+  TimePoint Now = Start + Milliseconds(10);
+  SUBCASE("refused if it can't have run") {
+    Made.Fleet.replace({}, Start);
+    CHECK(pick<RefuseRequest>(Run.start(Start)).size() == 1);
+    CHECK(Run.onStopping(Now).empty());
+  }
+  SUBCASE("with the shards that are in if they suffice") {
+    serveAllBut(Run, pick<StartAttempt>(Run.start(Start)), 5, Now);
+    RunActions Out = Run.onStopping(Now);
+    REQUIRE(pick<AnswerParts>(Out).size() == 1);
+    CHECK(pick<AnswerParts>(Out).front().Missing == 5);
+  }
+  SUBCASE("as failed if it may have run") {
+    serveAllBut(Run, pick<StartAttempt>(Run.start(Start)), 6, Now);
+    RunActions Out = Run.onStopping(Now);
+    REQUIRE(pick<FailRequest>(Out).size() == 1);
+    CHECK(pick<FailRequest>(Out).front().Why == FailureReason::Leaving);
+    CHECK(pick<AbandonAttempt>(Out).size() == 6);
+  }
+}
+
 TEST_CASE("an attempt that was withdrawn is no sign against its replica") {
   Fixture Made(1);
   RequestRun Run = Made.makeRun();
--- a/packages/gateway/src/gateway/app/Gateway.cpp
+++ b/packages/gateway/src/gateway/app/Gateway.cpp
@@ -46,9 +46,9 @@
 /// How long the directories of other VMs may still list this one after it began
 /// to leave.
 constexpr Milliseconds SpreadTime{300};
-/// Times before the platform kills the process at which it refuses new requests
-/// and at which it exits, which cuts off the requests in flight.
-constexpr Milliseconds RefuseBeforeKill{1'400};
+/// Times before the platform kills the process at which it ends the requests in
+/// flight with an answer, and at which it exits.
+constexpr Milliseconds AnswerBeforeKill{700};
 constexpr Milliseconds ExitBeforeKill{350};
 /// File descriptors reserved for connections to replicas, peers and the store.
 constexpr std::size_t ReservedDescriptors = 1'024;
@@ -295,10 +295,16 @@
 void Gateway::Impl::stepDrain(TimePoint Now) {
   for (VmDrainAction Each : m_Drain.tick(m_Busy, Now))
     apply(Each);
-  Duration Stopping = Now - *m_StopBegunAt;
-  if (Stopping > m_Settings.GracePeriod - RefuseBeforeKill)
-    asio::post(m_TrafficIo, [this] { m_Callers.refuseNew(); });
-  if (Stopping > m_Settings.GracePeriod - ExitBeforeKill)
+  TimePoint KillAt = *m_StopBegunAt + m_Settings.GracePeriod;
+  TimePoint AnswerAt = KillAt - AnswerBeforeKill;
+  // No caller should hold this VM's address any more: a request that may not
+  // end in time is better served by another VM.
+  if (m_Drain.closesConnections())
+    asio::post(m_TrafficIo,
+               [this, AnswerAt] { m_Callers.refuseBeyond(AnswerAt); });
+  if (Now > AnswerAt)
+    asio::post(m_TrafficIo, [this] { m_Callers.answerAll(); });
+  if (Now > KillAt - ExitBeforeKill)
     m_ControlIo.stop();
 }
 
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
@@ -234,6 +234,13 @@
   onTimer();
 }
 
+void ActiveRequest::stop() {
+  if (m_Answer)
+    return;
+  apply(m_Run.onStopping(monotonicNow()));
+  onTimer();
+}
+
 void ActiveRequest::answer(http::Response Response) {
   m_Answer = std::move(Response);
   m_Answered.cancel();
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.h
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.h
@@ -45,6 +45,8 @@
   /// @brief Runs the request.
   /// @return The answer; not sent to anyone if the caller has disconnected.
   boost::asio::awaitable<http::Response> run();
+  /// @brief Ends the request with an answer, as this VM exits.
+  void stop();
 
 private:
   [[nodiscard]] AttemptState *find(SubrequestId Id);
--- a/packages/gateway/src/gateway/traffic/CallerService.cpp
+++ b/packages/gateway/src/gateway/traffic/CallerService.cpp
@@ -86,6 +86,12 @@
   m_Listener->closeIdle();
 }
 
+void CallerService::answerAll() {
+  auto Active = m_Active;
+  for (const auto &Each : Active)
+    Each->stop();
+}
+
 std::size_t CallerService::busy() const { return m_Listener->stats().Open; }
 
 void CallerService::sweep() {
@@ -138,8 +144,6 @@
   auto Table = m_View->Table;
   if (!Table || !m_View->HasReplicas)
     co_return refuse(Request, RefusalReason::NotReady);
-  if (m_RefusesNew)
-    co_return refuse(Request, RefusalReason::Leaving);
   const RequestRoute *Chosen = Table->find(Request.Host, Request.Path);
   if (Chosen == nullptr) {
     ++m_Counters.NotFound;
@@ -147,6 +151,8 @@
                                   "no route of this host has this path");
   }
   RunPlan Plan = plan(*Chosen, Request);
+  if (Request.ReceivedAt + Plan.timeout() > m_RefusesBeyond)
+    co_return refuse(Request, RefusalReason::Leaving);
   SubrequestId First(m_NextAttempt);
   SharedResources Parts{.Context = m_Context,
                         .Fleet = m_Fleet,
@@ -158,7 +164,9 @@
       Parts, std::move(Request), std::move(Plan), First, m_Options.Run);
   m_NextAttempt += Active->maxAttempts();
   ++m_Counters.InFlight;
+  m_Active.insert(Active);
   http::Response Answer = co_await Active->run();
+  m_Active.erase(Active);
   --m_Counters.InFlight;
   co_return Answer;
 }
--- a/packages/gateway/src/gateway/traffic/CallerService.h
+++ b/packages/gateway/src/gateway/traffic/CallerService.h
@@ -14,6 +14,7 @@
 #include "gateway/traffic/TrafficOptions.h"
 #include "gateway/traffic/TrafficView.h"
 #include "gateway/traffic/VerdictLog.h"
+#include "gateway/traffic/fwd.h"
 #include "http/Listener.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -22,6 +23,7 @@
 
 #include <memory>
 #include <string>
+#include <unordered_set>
 
 namespace carawaypond::gateway {
 
@@ -45,8 +47,11 @@
   void beginLeaving();
   /// @brief Stops accepting connections and closes the idle ones.
   void closeIdle();
-  /// @brief Refuses requests that arrive from now on.
-  void refuseNew() { m_RefusesNew = true; }
+  /// @brief From now on refuses requests whose callers would wait beyond
+  /// @p Time.
+  void refuseBeyond(TimePoint Time) { m_RefusesBeyond = Time; }
+  /// @brief Answers all requests at once, as this VM exits.
+  void answerAll();
   /// @return The number of open caller connections; each request in flight
   /// holds one.
   [[nodiscard]] std::size_t busy() const;
@@ -75,9 +80,10 @@
   RetryAdvice m_RetryAdvice; ///< For requests refused before they have a route.
   std::shared_ptr<const TrafficView> m_View;
   std::unique_ptr<http::Listener> m_Listener;
+  std::unordered_set<std::shared_ptr<ActiveRequest>> m_Active;
   boost::asio::steady_timer m_SweepTimer;
   std::uint64_t m_NextAttempt = 1;
-  bool m_RefusesNew = false;
+  TimePoint m_RefusesBeyond = TimePoint::max();
   bool m_HasStopped = false;
 };
 
--- a/packages/gateway/src/gateway/traffic/RequestLog.cpp
+++ b/packages/gateway/src/gateway/traffic/RequestLog.cpp
@@ -105,6 +105,8 @@
     return "timed_out";
   case FailureReason::TooFewShards:
     return "too_few_shards";
+  case FailureReason::Leaving:
+    return "leaving";
   }
   return "unknown";
 }
