--- a/packages/coordination/test/coordination/run/RequestRunTest.cpp
+++ b/packages/coordination/test/coordination/run/RequestRunTest.cpp
@@ -226,68 +226,6 @@
   CHECK(Refused.front().RetryAfter == Milliseconds(200));
 }
 
-TEST_CASE(
-    "DRAIN: what a replica said about itself outlasts the loss of its record, "
-    "but not its incarnation") {
-  Fixture Made(1);
-  std::vector<ReplicaRecord> Both;
-  for (const auto &[Id, Gauge] :
-       Made.Fleet.service(Made.Shards.front()).replicas())
-    Both.push_back(Gauge.record());
-  Made.Fleet.onNotice(Both[0].Id, {.IsLeaving = true}, Start);
-  ServiceFleet &Service = Made.Fleet.service(Made.Shards.front());
-  CHECK_FALSE(Service.find(Both[0].Id)->isUsable(Start));
-
-  Made.Fleet.replace({Both[1]}, Start);
-  Made.Fleet.replace(Both, Start + Milliseconds(1'500));
-  CHECK_FALSE(Service.find(Both[0].Id)->isUsable(Start + Milliseconds(1'500)));
-
-  SUBCASE("a new incarnation replaces its record") {}
-  SUBCASE("a new incarnation comes after its record was removed") {
-    Made.Fleet.replace({Both[1]}, Start + Milliseconds(1'600));
-  }
-  Both[0].StartedAt += 1;
-  Made.Fleet.replace(Both, Start + Milliseconds(2'000));
-  CHECK(Service.find(Both[0].Id)->isUsable(Start + Milliseconds(2'000)));
-}
-
-TEST_CASE(
-    "BUDGET: no attempt is sent to a replica during the pause that it asked "
-    "for, wherever the attempt waits") {
-  Fixture Made(1);
-  RequestRun Run = Made.makeRun();
-  auto Sent = pick<StartAttempt>(Run.start(Start));
-  const ServerName &Pausing = Sent.front().Replica;
-  TimePoint Told = Start + Milliseconds(50);
-  CHECK(Made.Fleet.onNotice(Pausing, {.RetryAfter = Milliseconds(500)}, Told));
-  TimePoint End = Told + Milliseconds(500);
-  CHECK_FALSE(Run.maySend(Sent.front().Id, End - Milliseconds(1)));
-  CHECK(Run.maySend(Sent.front().Id, End));
-  CHECK_FALSE(
-      Made.Fleet.onNotice(Pausing, {.RetryAfter = Milliseconds(100)}, Told));
-  for (int I = 0; I < 10; ++I) {
-    RequestRun Other = Made.makeRun();
-    auto First = pick<StartAttempt>(Other.start(Told));
-    REQUIRE(First.size() == 1);
-    CHECK(First.front().Replica != Pausing);
-  }
-}
-
-TEST_CASE(
-    "a request whose replicas all pause is refused until the first of them "
-    "returns") {
-  Fixture Made(1);
-  Made.Fleet.onNotice(ServerName("s0a"), {.RetryAfter = Milliseconds(200)},
-                      Start);
-  Made.Fleet.onNotice(ServerName("s0b"), {.RetryAfter = Milliseconds(900)},
-                      Start);
-  RequestRun Run = Made.makeRun();
-  auto Refused = pick<RefuseRequest>(Run.start(Start));
-  REQUIRE(Refused.size() == 1);
-  CHECK(Refused.front().Why == RefusalReason::ReplicasBusy);
-  CHECK(Refused.front().RetryAfter == Milliseconds(200));
-}
-
 TEST_CASE(
     "DRAIN: what a replica said about itself outlasts the loss of its record "
     "but not its incarnation") {
