--- a/packages/coordination/test/coordination/placement/ReplicaLimitTest.cpp
+++ b/packages/coordination/test/coordination/placement/ReplicaLimitTest.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <memory>
 #include <numeric>
 #include <random>
 
