Soak: replicas that ask for a pause, name a limit, or say that they leave

The observer checks that no more than two requests of a VM reach a replica in the pause it was asked for, that a limit is kept over all VMs, and that no request which a client sent 3 s after a VM passed on a replica's word reaches it, in touch or not; each check has a test that it reports.

--- a/scripts/soak/faults.py
+++ b/scripts/soak/faults.py
@@ -28,13 +28,16 @@
     def _vm(self):
         return self.random.choice(self.site.vms)
 
+    def _begin_all(self, *subjects):
+        return [self.disruptions.begin(each) for each in subjects]
+
     async def _kill(self, vm):
-        span = self.disruptions.begin(vm.name)
-        unplanned = self.disruptions.begin(vm.name + " unplanned")
+        spans = self._begin_all(vm.name, vm.name + " unplanned",
+                                vm.name + " process")
         vm.signal(signal.SIGKILL)
         await asyncio.sleep(1.0)
-        self.disruptions.end(span)
-        self.disruptions.end(unplanned)
+        for each in spans:
+            self.disruptions.end(each)
 
     async def vm_killed(self):
         for vm in self.random.sample(self.site.vms, self.random.randint(1, 2)):
@@ -46,7 +49,7 @@
 
     async def _stop(self, vm):
         loop = asyncio.get_running_loop()
-        span = self.disruptions.begin(vm.name)
+        spans = self._begin_all(vm.name, vm.name + " process")
         child = vm.child
         if vm.signal(signal.SIGTERM):
             self.site.stops.append((vm.name, loop.time()))
@@ -58,7 +61,8 @@
                 f"{vm.name} still runs after its grace period")
             if child.returncode is None:
                 vm.signal(signal.SIGKILL)
-        self.disruptions.end(span)
+        for each in spans:
+            self.disruptions.end(each)
 
     async def vm_stopped(self):
         await self._stop(self._vm())
@@ -70,8 +74,8 @@
 
     async def vm_paused(self):
         vm = self._vm()
-        spans = [self.disruptions.begin(vm.name),
-                 self.disruptions.begin(vm.name + " unplanned")]
+        spans = self._begin_all(vm.name, vm.name + " unplanned",
+                                vm.name + " process")
         vm.signal(signal.SIGSTOP)
         await asyncio.sleep(self.random.uniform(0.2, 3.0))
         vm.signal(signal.SIGCONT)
@@ -187,6 +191,18 @@
         await self._with_replica(self._replica()[1], self.random.uniform(1, 4),
                                  **{direction: True})
 
+    async def replica_asks_for_pause(self):
+        replica = self._replica()[0]
+        replica.pause_s = self.random.uniform(1, 3)
+        await asyncio.sleep(self.random.uniform(0.5, 4))
+        replica.pause_s = 0.0
+
+    async def replica_names_limit(self):
+        replica = self._replica()[0]
+        replica.limit = self.random.uniform(2, 20)
+        await asyncio.sleep(self.random.uniform(6, 12))
+        replica.limit = None
+
     async def replicas_paused(self):
         loop = asyncio.get_running_loop()
         for replica, _ in list(self.site.replicas.values()):
--- a/scripts/soak/observer.py
+++ b/scripts/soak/observer.py
@@ -46,6 +46,16 @@
         self.reached_vm = True
 
 
+class ReplicaLimit:
+    """The limit that a replica names, and what reached it meanwhile."""
+
+    def __init__(self, limit, named_at):
+        self.limit = limit
+        self.named_at = named_at
+        self.told = {}  # VM -> time of the first answer with the limit
+        self.arrivals = []  # times, of VMs that had been told
+
+
 class Observer:
     """Records events and checks each property as soon as its data is complete."""
 
@@ -66,6 +76,18 @@
         self.requests = collections.defaultdict(list)  # service -> [time]
         self.answers = {}
         self.late_arrivals = 0
+        self.pauses = {}  # (instance, VM) -> (start, end)
+        self.arrivals_in_pause = collections.Counter()  # (instance, VM, start)
+        self.limits = {}  # instance -> ReplicaLimit
+        self.told_leaving = {}  # (instance, VM) -> when it passed that on
+
+    def forget(self, instance):
+        """Drops what an earlier incarnation of the instance has said."""
+        self.leaving.pop(instance, None)
+        self.limits.pop(instance, None)
+        for told in (self.pauses, self.told_leaving):
+            for key in [each for each in told if each[0] == instance]:
+                del told[key]
 
     def violated(self, property_name, text):
         self.violations.append((property_name, text))
@@ -96,6 +118,9 @@
         self.expect("route", replica.service in self.allowed[prefix],
                     f"{request_id} for {prefix} arrived at {replica.service}")
         self._check_drain(replica, answer, now)
+        self._check_told_leaving(replica, answer, now)
+        self._check_pause(replica, answer, now)
+        self._check_limit(replica, answer, now)
         if answer.gave_up_at and now > answer.gave_up_at + bounds.LATE_ARRIVAL_S:
             if self.disruptions.is_undisturbed(answer.sent, now, answer.vm,
                                                "process"):
@@ -113,6 +138,71 @@
                     f"{replica.instance} got {answer.id} of {answer.vm} "
                     f"{now - drain_started_at:.2f} s after it began to leave")
 
+    def _check_told_leaving(self, replica, answer, now):
+        """Holds in touch with the store or not; a restart or a freeze of the VM
+        excuses it."""
+        told = self.told_leaving.get((replica.instance, answer.vm))
+        if told is None or answer.sent <= told + bounds.DRAIN_S:
+            return
+        if self.disruptions.is_undisturbed(told, now, answer.vm + " process",
+                                           "process"):
+            self.violated("told leaving",
+                          f"{replica.instance} got {answer.id} of {answer.vm} "
+                          f"{now - told:.2f} s after it had said that it leaves")
+
+    def on_pause_asked(self, replica, request_id, pause_s):
+        """The replica refuses a request and names the pause that it wants."""
+        answer = self.answers.get(request_id)
+        key = (replica.instance, answer.vm if answer else None)
+        now = time.monotonic()
+        self.checks["pause"] += 1
+        if self.pauses.get(key, (0, 0))[1] < now:
+            self.pauses[key] = (now, now + pause_s)
+
+    def _check_pause(self, replica, answer, now):
+        start, end = self.pauses.get((replica.instance, answer.vm), (0, 0))
+        if not start + bounds.NOTICE_S < now < end:
+            return
+        if not self.disruptions.is_undisturbed(start, now, answer.vm,
+                                               "replicas", "process"):
+            return
+        key = (replica.instance, answer.vm, start)
+        self.arrivals_in_pause[key] += 1
+        self.expect("pause", self.arrivals_in_pause[key]
+                    <= bounds.MAX_ARRIVALS_IN_PAUSE,
+                    f"{replica.instance} got {answer.id} of {answer.vm} "
+                    f"{now - start:.2f} s into a pause of {end - start:.2f} s")
+
+    def on_limit_named(self, replica, request_id):
+        """The replica names its limit in the answer to a request."""
+        answer = self.answers.get(request_id)
+        known = self.limits.get(replica.instance)
+        if known is None or known.limit != replica.limit:
+            known = ReplicaLimit(replica.limit, time.monotonic())
+            self.limits[replica.instance] = known
+        if answer:
+            known.told.setdefault(answer.vm, time.monotonic())
+
+    def _check_limit(self, replica, answer, now):
+        known = self.limits.get(replica.instance)
+        if known is None or known.limit != replica.limit:
+            return
+        told = known.told.get(answer.vm)
+        is_counted = (told is not None and now >= told + bounds.NOTICE_S
+                      and now >= known.named_at + bounds.STABILITY_S
+                      and self.disruptions.is_undisturbed(
+                          told, now, answer.vm, "replicas", "process"))
+        if not is_counted:
+            return
+        known.arrivals.append(now)
+        recent = sum(1 for at in known.arrivals
+                     if at > now - bounds.LIMIT_WINDOW_S)
+        allowed = (bounds.LIMIT_FACTOR * bounds.LIMIT_WINDOW_S * known.limit
+                   + bounds.LIMIT_SLACK)
+        self.expect("limit", recent <= allowed,
+                    f"{replica.instance} named {known.limit:.1f} a second and "
+                    f"got {recent} in {bounds.LIMIT_WINDOW_S:.0f} s")
+
     def on_run(self, replica, request, request_id):
         self.runs[request_id].append((time.monotonic(), replica.instance))
         if self.prefix_of(request.path) not in self.unsafe:
@@ -134,6 +224,7 @@
     def on_answer(self, answer):
         if answer.status is None or answer.gave_up_at:
             return
+        self._note_leaving(answer)
         prefix = self.prefix_of(answer.path)
         if answer.status == 200 and prefix in self.top_records:
             self._check_gathered(answer, prefix)
@@ -143,6 +234,19 @@
             self.expect("not run", not self.runs.get(answer.id),
                         f"{answer.id} answered {answer.status} and has run")
 
+    def _note_leaving(self, answer):
+        """Records which replicas the VM of this answer has heard leave: those
+        that had said so before the request was sent."""
+        stamps = (answer.headers.get("X-Part-Stamps", "") + "," +
+                  answer.headers.get("X-Server-Stamp", "")).split(",")
+        for stamp in stamps:
+            instance = stamp.strip().rsplit(".", 1)[0]
+            leaves_since = self.leaving.get(instance)
+            if leaves_since is not None and leaves_since < answer.sent:
+                self.checks["told leaving"] += 1
+                self.told_leaving.setdefault((instance, answer.vm),
+                                             time.monotonic())
+
     def _check_relayed(self, answer):
         stamp = answer.headers.get("X-Server-Stamp", "")
         replica = self.instances.get(stamp.rsplit(".", 1)[0])
--- a/scripts/soak/site.py
+++ b/scripts/soak/site.py
@@ -113,7 +113,7 @@
             proxy.address = await proxy.start(f"{self.prefix}.5.1")
         proxy.target = target
         self.observer.instances[instance] = replica
-        self.observer.leaving.pop(instance, None)
+        self.observer.forget(instance)
         self.replicas[instance] = (replica, proxy)
         replica.register(proxy.address)
         return replica
--- a/scripts/soak/test_observer.py
+++ b/scripts/soak/test_observer.py
@@ -13,6 +13,7 @@
     def __init__(self, instance, service):
         self.instance = instance
         self.service = service
+        self.limit = None
 
 
 class FakeRequest:
@@ -56,6 +57,48 @@
         self.arrive(self.replicas[2], answer)
         self.assertEqual(self.violated_properties(), ["at most once"])
 
+    def test_requests_in_a_pause(self):
+        replica = self.replicas[3]
+        self.observer.on_pause_asked(replica, self.sent_request("q0", "/one/0").id, 5.0)
+        start, end = self.observer.pauses[(replica.instance, "vm0")]
+        self.observer.pauses[(replica.instance, "vm0")] = (start - 1.0, end)
+        for number in range(2):
+            self.arrive(replica, self.sent_request(f"q{number + 1}", "/one/1"))
+        self.assertEqual(self.violated_properties(), [])
+        self.arrive(replica, self.sent_request("q3", "/one/1"))
+        self.assertEqual(self.violated_properties(), ["pause"])
+
+    def test_requests_beyond_a_limit(self):
+        replica = self.replicas[3]
+        replica.limit = 1.0
+        self.observer.on_limit_named(replica, self.sent_request("q0", "/one/0").id)
+        known = self.observer.limits[replica.instance]
+        known.named_at -= 10.0
+        known.told["vm0"] -= 10.0
+        for number in range(11):
+            self.arrive(replica, self.sent_request(f"q{number + 1}", "/one/1"))
+        self.assertEqual(self.violated_properties(), [])
+        self.arrive(replica, self.sent_request("q12", "/one/1"))
+        self.assertEqual(self.violated_properties(), ["limit"])
+
+    def test_request_after_the_replica_said_that_it_leaves(self):
+        replica = self.replicas[3]
+        self.observer.leaving[replica.instance] = time.monotonic() - 9.0
+        answer = self.sent_request("q1", "/one/1", sent_ago=8.0)
+        answer.status = 200
+        answer.headers = {"X-Server-Stamp": sign(replica.instance, "q1")}
+        answer.body = body_of(replica.service, "q1")
+        answer.ended = time.monotonic()
+        self.observer.on_answer(answer)
+        key = (replica.instance, "vm0")
+        self.assertIn(key, self.observer.told_leaving)
+        self.observer.disruptions.begin("store")
+        self.arrive(replica, self.sent_request("q2", "/one/1"))
+        self.assertEqual(self.violated_properties(), [])
+        self.observer.told_leaving[key] -= bounds.DRAIN_S + 1.0
+        self.arrive(replica, self.sent_request("q3", "/one/1"))
+        self.assertEqual(self.violated_properties(), ["told leaving"])
+
     def test_refused_but_run(self):
         answer = self.sent_request("q1", "/pay/1")
         self.arrive(self.replicas[2], answer)
--- a/standins/loopback/replica.py
+++ b/standins/loopback/replica.py
@@ -50,6 +50,9 @@
         self.lost_share = 0.0  # of the answers, connection reset after the run
         self.garbled_share = 0.0  # of the answers, not valid HTTP
         self.paused_until = 0.0
+        self.pause_s = 0.0  # refuses with Retry-After for so long
+        self.limit = None  # requests per second that all answers name
+        self.is_leaving = False  # all answers say so
         self.state = "ready"
         self.is_alive = True
         self.sequence = 0
@@ -81,12 +84,14 @@
     def drain(self):
         """Writes the state "draining" to the store; returns the time."""
         self.state = "draining"
+        self.is_leaving = True
         self._write_entry()
         return time.monotonic()
 
     def leave(self):
         """Removes the entry; the replica still serves. Returns the time."""
         self.heartbeat_task.cancel()
+        self.is_leaving = True
         self.store.remove("servers", self.instance)
         return time.monotonic()
 
@@ -111,6 +116,19 @@
             return web.Response(status=421, headers={
                 "X-Not-Executed": "1", "X-Instance-Id": self.instance})
         self.journal.on_arrival(self, request, request_id)
+        answer = await self._queue_and_work(request, request_id)
+        if self.is_leaving:
+            answer.headers["Server-Leaving"] = "1"
+        if self.limit is not None:
+            answer.headers["Server-Limit"] = f"{self.limit:.1f}"
+            self.journal.on_limit_named(self, request_id)
+        return answer
+
+    async def _queue_and_work(self, request, request_id):
+        if self.pause_s > 0:
+            self.journal.on_pause_asked(self, request_id, self.pause_s)
+            return web.Response(status=503, headers={
+                "X-Not-Executed": "1", "Retry-After": f"{self.pause_s:.2f}"})
         if not request_id or self.waiting >= QUEUE_LENGTH:
             return web.Response(status=503 if request_id else 400,
                                 headers={"X-Not-Executed": "1"})
