--- a/packages/coordination/test/coordination/budget/ArrivalBudgetTest.cpp
+++ b/packages/coordination/test/coordination/budget/ArrivalBudgetTest.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <deque>
 
 using namespace carawaypond;
@@ -36,6 +37,44 @@
   CHECK(Held);
 }
 
+TEST_CASE(
+    "BUDGET: VMs that are killed and restart again and again stay within the "
+    "budget together") {
+  ArrivalBudgetOptions Options{.Ratio = 0.2, .Slack = 56};
+  constexpr std::size_t Vms = 4;
+  constexpr Milliseconds Life{3'000};
+  TimePoint Start{std::chrono::hours(1)};
+  std::vector<ArrivalBudget> Budgets(Vms, ArrivalBudget(Options));
+  TimePoint NextKill = Start + Life;
+  std::deque<std::pair<TimePoint, bool>> Seen; // second: whether it is extra
+  double MostExcess = -Options.Slack;
+  for (TimePoint Now = Start; Now < Start + Milliseconds(30'000);
+       Now += Milliseconds(10)) {
+    if (Now >= NextKill) {
+      Options.SlackFrom = Now + Options.Window;
+      Budgets.assign(Vms, ArrivalBudget(Options));
+      NextKill += Life;
+    }
+    for (ArrivalBudget &Own : Budgets) {
+      bool IsAsked = (Now - Start) % Milliseconds(200) < Milliseconds(10);
+      if (IsAsked) {
+        Own.countRequest(Now);
+        Seen.emplace_back(Now, false);
+      }
+      if (Own.trySpend(1.0 / Vms, 0, Now))
+        Seen.emplace_back(Now, true);
+    }
+    while (Seen.front().first <= Now - Options.Window)
+      Seen.pop_front();
+    double Requests = 0;
+    double Extras = 0;
+    for (const auto &[At, IsExtra] : Seen)
+      ++(IsExtra ? Extras : Requests);
+    MostExcess = std::max(MostExcess, Extras - Options.Ratio * Requests);
+  }
+  CHECK(MostExcess <= Options.Slack);
+}
+
 TEST_CASE("a reserve is left for retries") {
   ArrivalBudget Budget({.Ratio = 0, .Slack = 10});
   TimePoint Now{std::chrono::hours(1)};
