BUDGET: attempts of which nothing was sent cost no extra arrival

A retry after a refused connect, or a hedge that was withdrawn from a queue, was charged to the service's budget for extra arrivals though at most one arrival happened, so that later requests got no hedge or retry (budget_spent) within the users' rule.

Cause: the budget was charged as an attempt was decided on and never returned. Change: an attempt is charged only if an earlier one of its shard has arrived or may; what it was charged is returned, to the moment at which it was spent, if nothing was sent.

Evidence: RequestRunTest "BUDGET: attempts of which nothing was sent ...": a test of the new call, not run on the code before, which had none to return a charge by.

--- a/packages/coordination/src/coordination/budget/ArrivalBudget.cpp
+++ b/packages/coordination/src/coordination/budget/ArrivalBudget.cpp
@@ -44,6 +44,13 @@
   ++currentBucket(Now).Requests;
 }
 
+void ArrivalBudget::giveBack(TimePoint SpentAt) {
+  std::int64_t Number = bucketNumber(SpentAt);
+  Bucket &Spent = m_Buckets[static_cast<std::size_t>(Number) % BucketCount];
+  if (Spent.Number == Number && Spent.Extras > 0)
+    --Spent.Extras;
+}
+
 bool ArrivalBudget::trySpend(double Share, double Reserve, TimePoint Now) {
   if (available(Share, Now) < 1 + Reserve)
     return false;
--- a/packages/coordination/src/coordination/budget/ArrivalBudget.h
+++ b/packages/coordination/src/coordination/budget/ArrivalBudget.h
@@ -36,6 +36,8 @@
   /// @brief Spends one arrival on a hedge or retry, if the budget allows it.
   /// @param Reserve How many arrivals must remain available afterwards.
   [[nodiscard]] bool trySpend(double Share, double Reserve, TimePoint Now);
+  /// @brief Returns an arrival that was spent at @p SpentAt and did not happen.
+  void giveBack(TimePoint SpentAt);
 
 private:
   /// The window is divided into buckets. One more than fits the window covers
--- a/packages/coordination/src/coordination/run/RequestRun.cpp
+++ b/packages/coordination/src/coordination/run/RequestRun.cpp
@@ -11,9 +11,13 @@
 /// Attempts beyond MaxAttempts that are allowed after refusals.
 constexpr std::size_t ExtraAttemptsAfterRefusal = 1;
 
+bool isUnsent(AttemptResult How) {
+  return How == AttemptResult::NeverSent || How == AttemptResult::Withdrawn;
+}
+
 bool isKnownNotRun(AttemptResult How) {
   return How == AttemptResult::NotRun || How == AttemptResult::Misplaced ||
-         How == AttemptResult::NeverSent || How == AttemptResult::Withdrawn;
+         isUnsent(How);
 }
 
 } // namespace
@@ -66,6 +70,13 @@
   return false;
 }
 
+bool RequestRun::mayHaveArrived(const Target &At) {
+  return std::any_of(At.Attempts.begin(), At.Attempts.end(),
+                     [](const Attempt &Each) {
+                       return !Each.Ended || !isUnsent(*Each.Ended);
+                     });
+}
+
 bool RequestRun::maySendAgain(const Target &Of) const {
   std::size_t Run = 0;
   for (const Attempt &Each : Of.Attempts)
@@ -173,8 +184,11 @@
   SubrequestId Id(m_NextId++);
   double Cost = Replica.cost(m_Fleet.options(), Now);
   Replica.onSent(Id, m_Latency.median(), Now);
-  To.Attempts.push_back(
-      {.Id = Id, .Replica = Replica.record().Id, .SentAt = Now, .Ended = {}});
+  To.Attempts.push_back({.Id = Id,
+                         .Replica = Replica.record().Id,
+                         .SentAt = Now,
+                         .Ended = {},
+                         .ChargedAt = {}});
   Out.push_back(StartAttempt{.Id = Id,
                              .Service = To.Service,
                              .Replica = Replica.record().Id,
@@ -198,11 +212,14 @@
   if (IsHedge && !Replica->notices().hasRoom(Now, m_Options.HedgeLimitReserve))
     return false;
   double Reserve = IsHedge ? m_Options.HedgeReserve : 0;
-  if (!Service.budget().trySpend(m_Fleet.share(), Reserve, Now)) {
+  bool IsExtra = mayHaveArrived(To);
+  if (IsExtra && !Service.budget().trySpend(m_Fleet.share(), Reserve, Now)) {
     m_WasBudgetExhausted = true;
     return false;
   }
   send(To, *Replica, Why, Out, Now);
+  if (IsExtra)
+    To.Attempts.back().ChargedAt = Now;
   return true;
 }
 
@@ -215,6 +232,8 @@
     if (Found == Each.Attempts.end() || Found->Ended)
       continue;
     Found->Ended = How;
+    if (isUnsent(How) && Found->ChargedAt)
+      m_Fleet.service(Each.Service).budget().giveBack(*Found->ChargedAt);
     ReplicaTracker *Gauge = m_Fleet.service(Each.Service).find(Found->Replica);
     if (Gauge != nullptr)
       if (auto Normal = Gauge->onEnded(Id, How, m_Fleet.options(), Now))
--- a/packages/coordination/src/coordination/run/RequestRun.h
+++ b/packages/coordination/src/coordination/run/RequestRun.h
@@ -83,6 +83,8 @@
     ServerName Replica;
     TimePoint SentAt;
     std::optional<AttemptResult> Ended;
+    /// When it was charged to the budget, if it was.
+    std::optional<TimePoint> ChargedAt;
   };
   struct Target {
     ServiceName Service;
@@ -97,6 +99,8 @@
   [[nodiscard]] bool isRouteIdempotent() const;
   [[nodiscard]] std::size_t outstanding(const Target &Of) const;
   [[nodiscard]] bool mayHaveRun() const;
+  /// @return Whether an attempt has reached a replica or still may.
+  [[nodiscard]] static bool mayHaveArrived(const Target &At);
   [[nodiscard]] bool maySendAgain(const Target &Of) const;
   /// @return Whether the attempt's replica may still get requests.
   [[nodiscard]] bool isUsable(const Target &Of, const Attempt &Made,
--- a/packages/coordination/src/coordination/run/RunActions.h
+++ b/packages/coordination/src/coordination/run/RunActions.h
@@ -26,7 +26,7 @@
   AttemptReason Why = AttemptReason::First;
   double Cost = 0; ///< Of the replica when chosen; see PlacementOptions.
 
-  /// @return Whether it is charged to the budget for hedges and retries.
+  /// @return Whether it is a hedge or a retry.
   [[nodiscard]] bool isExtra() const { return Why != AttemptReason::First; }
 };
 
--- a/packages/coordination/test/coordination/run/RequestRunTest.cpp
+++ b/packages/coordination/test/coordination/run/RequestRunTest.cpp
@@ -275,6 +275,29 @@
   }
 }
 
+TEST_CASE("BUDGET: attempts of which nothing was sent cost no extra arrival") {
+  Fixture Made(1);
+  ArrivalBudget &Budget = Made.Fleet.service(Made.Shards.front()).budget();
+  RequestRun Run = Made.makeRun();
+  auto Sent = pick<StartAttempt>(Run.start(Start));
+  double Before = Budget.available(1, Start);
+
+  SUBCASE("the first attempt: the retry is the first arrival") {
+    auto Retry = pick<StartAttempt>(Run.onEnded(
+        Sent.front().Id, AttemptResult::NeverSent, Start + Milliseconds(1)));
+    REQUIRE(Retry.size() == 1);
+  }
+  SUBCASE("a hedge that was withdrawn") {
+    TimePoint Later = Start + Milliseconds(60);
+    auto Hedge = pick<StartAttempt>(Run.onTick(Later));
+    REQUIRE(Hedge.size() == 1);
+    CHECK(Budget.available(1, Later) == Before - 1);
+    Run.onEnded(Hedge.front().Id, AttemptResult::Withdrawn,
+                Later + Milliseconds(900));
+  }
+  CHECK(Budget.available(1, Start + Milliseconds(1'000)) == Before);
+}
+
 TEST_CASE("an attempt that was withdrawn is no sign against its replica") {
   Fixture Made(1);
   RequestRun Run = Made.makeRun();
