--- a/packages/coordination/src/coordination/budget/ArrivalBudget.cpp
+++ b/packages/coordination/src/coordination/budget/ArrivalBudget.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 /// Share of the budget that is used. The rest is a margin: VMs may disagree for
-/// a while on their number.
+/// a while on their number, and a restarted VM does not know what it has spent
+/// before.
 constexpr double UsedShare = 0.8;
 
 } // namespace
@@ -28,8 +29,8 @@
     Requests += Each.Requests;
     Extras += Each.Extras;
   }
-  double Slack = Now >= m_Options.SlackFrom ? Share * m_Options.Slack : 0;
-  return UsedShare * (m_Options.Ratio * Requests + Slack) - Extras;
+  return UsedShare * (m_Options.Ratio * Requests + Share * m_Options.Slack) -
+         Extras;
 }
 
 ArrivalBudget::Bucket &ArrivalBudget::currentBucket(TimePoint Now) {
--- a/packages/coordination/src/coordination/budget/ArrivalBudget.h
+++ b/packages/coordination/src/coordination/budget/ArrivalBudget.h
@@ -14,9 +14,6 @@
   double Ratio = 0.2;          ///< Extra arrivals per request in the window.
   double Slack = 0;            ///< Additional arrivals in the window.
   Milliseconds Window{10'000}; ///< The limit holds for any span of this length.
-  /// Before it the slack is not used. A VM that has restarted does not know
-  /// what it spent before; a window after its start that no longer counts.
-  TimePoint SlackFrom;
 };
 
 /// @brief This VM's share of a service's budget for hedges and retries.
--- a/packages/coordination/test/coordination/budget/ArrivalBudgetTest.cpp
+++ b/packages/coordination/test/coordination/budget/ArrivalBudgetTest.cpp
@@ -51,7 +51,6 @@
   for (TimePoint Now = Start; Now < Start + Milliseconds(30'000);
        Now += Milliseconds(10)) {
     if (Now >= NextKill) {
-      Options.SlackFrom = Now + Options.Window;
       Budgets.assign(Vms, ArrivalBudget(Options));
       NextKill += Life;
     }
--- a/packages/gateway/src/gateway/app/Gateway.cpp
+++ b/packages/gateway/src/gateway/app/Gateway.cpp
@@ -75,7 +75,6 @@
   Options.Pool.MaxBodyBytes = Options.Pool.MaxReplyMemory / ReplyMemoryDivisor;
   Options.Placement.Centre = Settings.Centre;
   Options.Placement.Budget = Settings.Budget;
-  Options.Placement.Budget.SlackFrom = monotonicNow() + Settings.Budget.Window;
   Options.Placement.LimitPhase = randomPart();
   return Options;
 }
