--- a/packages/coordination/src/coordination/model/fwd.h
+++ b/packages/coordination/src/coordination/model/fwd.h
@@ -6,6 +6,7 @@
 struct CallerClass;
 struct IndexLayout;
 struct IndexObject;
+struct JsonMember;
 struct ReplicaVersions;
 struct ServerInfo;
 struct ServiceConfig;
