--- a/packages/coordination/src/coordination/addresses/ShardCentres.cpp
+++ b/packages/coordination/src/coordination/addresses/ShardCentres.cpp
@@ -30,7 +30,8 @@
   std::unordered_set<ServiceName> Shards = shardsOf(Host, Table);
   std::map<DataCentre, double> Counts;
   double Most = 0;
-  for (const auto &[Id, Each] : Replicas) {
+  for (const auto &[Id, Known] : Replicas) {
+    const ReplicaRecord &Each = Known.Record;
     bool IsServing = Each.State == ReplicaState::Serving;
     if (IsServing && Shards.contains(Each.Service))
       Most = std::max(Most, ++Counts[Each.Centre]);
--- a/packages/coordination/src/coordination/replicas/ReplicaRegistry.cpp
+++ b/packages/coordination/src/coordination/replicas/ReplicaRegistry.cpp
@@ -2,116 +2,221 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace carawaypond {
 
-std::optional<TimePoint> ReplicaRegistry::nextExpiry() const {
-  std::optional<TimePoint> Next;
-  for (const auto &[Id, Until] : m_Missing)
-    if (!Next || Until < *Next)
-      Next = Until;
-  return Next;
+namespace {
+
+/// Bounds memory if entries come and go all through an outage.
+constexpr std::size_t MaxRemovals = 8'192;
+
+} // namespace
+
+StoreRevision ReplicaRegistry::removedAsOf(const ServerName &Id) const {
+  auto Found = m_Removals.find(Id);
+  return Found == m_Removals.end() ? m_AsOf
+                                   : std::max(m_AsOf, Found->second.Revision);
+}
+
+std::size_t ReplicaRegistry::presumed() const {
+  return static_cast<std::size_t>(
+      std::count_if(m_Entries.begin(), m_Entries.end(), [](const auto &Each) {
+        return Each.second.Evidence == ReplicaEvidence::Presumed;
+      }));
 }
 
-bool ReplicaRegistry::isStoreOut(TimePoint Now) const {
-  return !m_AnsweredAt || Now - *m_AnsweredAt > m_Options.MinOutage;
+std::optional<TimePoint> ReplicaRegistry::presumedUntil(TimePoint Now) const {
+  if (m_Contact.isOut(Now))
+    return std::nullopt;
+  return m_Contact.latest()->Since + m_Options.RecoveryGrace;
 }
 
 bool ReplicaRegistry::isRecovering(TimePoint Now) const {
-  return isStoreOut(Now) || Now < m_RecoveryUntil;
+  auto Until = presumedUntil(Now);
+  return !Until || Now < *Until;
 }
 
-bool ReplicaRegistry::put(ReplicaRecord Record) {
-  m_Missing.erase(Record.Id);
-  auto [Found, IsNew] = m_Entries.try_emplace(Record.Id, Record);
-  if (IsNew)
-    return true;
-  ReplicaRecord &Known = Found->second;
-  if (Record.StartedAt < Known.StartedAt)
+bool ReplicaRegistry::isSettled(TimePoint Now) const {
+  return !isRecovering(Now) &&
+         m_ConfirmedAt >= m_Contact.latest()->Since + m_Options.ReturnTime;
+}
+
+void ReplicaRegistry::confirm(TimePoint At) {
+  m_ConfirmedAt = std::max(m_ConfirmedAt, At);
+}
+
+void ReplicaRegistry::note(ReplicaTransition::Kind What, const ServerName &Id,
+                           StoreRevision Revision) {
+  m_Transitions.push_back({.What = What, .Id = Id, .Revision = Revision});
+}
+
+std::vector<ReplicaTransition> ReplicaRegistry::takeTransitions() {
+  return std::exchange(m_Transitions, {});
+}
+
+bool ReplicaRegistry::put(ReplicaRecord Record, StoreRevision Revision) {
+  return accept({.Record = std::move(Record), .Revision = Revision}, Revision);
+}
+
+bool ReplicaRegistry::accept(KnownReplica Stored, StoreRevision PresentAsOf) {
+  ServerName Id = Stored.Record.Id;
+  auto Found = m_Entries.find(Id);
+  if (Found != m_Entries.end())
+    return update(Found->second, std::move(Stored), PresentAsOf);
+  if (PresentAsOf <= removedAsOf(Id))
+    return false;
+  m_Removals.erase(Id);
+  note(ReplicaTransition::Kind::Added, Id, Stored.Revision);
+  m_Entries.emplace(Id, std::move(Stored));
+  return true;
+}
+
+bool ReplicaRegistry::update(KnownReplica &Known, KnownReplica Stored,
+                             StoreRevision PresentAsOf) {
+  ReplicaRecord &Record = Stored.Record;
+  bool IsPresumed = Known.Evidence == ReplicaEvidence::Presumed;
+  if (Stored.Revision < Known.Revision ||
+      (IsPresumed && PresentAsOf <= removedAsOf(Record.Id)))
+    return false;
+  if (IsPresumed)
+    note(ReplicaTransition::Kind::Revived, Record.Id, Stored.Revision);
+  m_Removals.erase(Record.Id);
+  Known.Revision = Stored.Revision;
+  Known.Evidence = ReplicaEvidence::Stored;
+  // A replica's earlier incarnation may write late.
+  if (Record.StartedAt < Known.Record.StartedAt)
     return false;
   // WarmupLeft decreases on its own, so a higher value is out of date.
-  if (Record.StartedAt == Known.StartedAt)
-    Record.WarmupLeft = std::min(Record.WarmupLeft, Known.WarmupLeft);
-  ReplicaRecord Unchanged = Known;
+  if (Record.StartedAt == Known.Record.StartedAt)
+    Record.WarmupLeft = std::min(Record.WarmupLeft, Known.Record.WarmupLeft);
+  ReplicaRecord Unchanged = Known.Record;
   Unchanged.WarmupLeft = Record.WarmupLeft;
   if (Unchanged == Record)
     return false;
-  Found->second = std::move(Record);
+  note(ReplicaTransition::Kind::Updated, Record.Id, Stored.Revision);
+  Known.Record = std::move(Record);
   return true;
 }
 
-bool ReplicaRegistry::remove(const ServerName &Id, TimePoint Now) {
-  if (!m_Entries.contains(Id))
+bool ReplicaRegistry::remove(const RemovedReplica &Removed, TimePoint Now) {
+  auto Found = m_Entries.find(Removed.Id);
+  if (Found != m_Entries.end() && Found->second.Revision > Removed.Revision)
+    return false;
+  bool IsSettled = !isRecovering(Now);
+  Removal &Known = m_Removals[Removed.Id];
+  Known.Revision = std::max(Known.Revision, Removed.Revision);
+  Known.IsSettled = Known.IsSettled || IsSettled;
+  if (Found == m_Entries.end())
     return false;
-  if (!isRecovering(Now))
-    return m_Missing.erase(Id), m_Entries.erase(Id) > 0;
-  TimePoint Until = Now + m_Options.RecoveryGrace;
-  m_Missing.try_emplace(Id, isStoreOut(Now) ? Until : m_RecoveryUntil);
+  if (IsSettled) {
+    note(ReplicaTransition::Kind::Removed, Removed.Id, Removed.Revision);
+    m_Entries.erase(Found);
+    return true;
+  }
+  if (Found->second.Evidence == ReplicaEvidence::Stored)
+    note(ReplicaTransition::Kind::Missing, Removed.Id, Removed.Revision);
+  Found->second.Evidence = ReplicaEvidence::Presumed;
   return false;
 }
 
-std::vector<ServerName>
-ReplicaRegistry::missingFrom(const std::vector<ReplicaRecord> &Listed) const {
-  std::set<ServerName> Present;
-  for (const ReplicaRecord &Each : Listed)
-    Present.insert(Each.Id);
-  std::vector<ServerName> Absent;
-  for (const auto &[Id, Record] : m_Entries)
-    if (!Present.contains(Id))
-      Absent.push_back(Id);
-  return Absent;
+bool ReplicaRegistry::presume(const KnownReplica &Offered, TimePoint Now) {
+  const ServerName &Id = Offered.Record.Id;
+  if (m_Entries.contains(Id))
+    return false;
+  auto Found = m_Removals.find(Id);
+  bool WasRemoved = Offered.Revision <= m_SettledAsOf ||
+                    (Found != m_Removals.end() && Found->second.IsSettled &&
+                     Offered.Revision <= Found->second.Revision);
+  if (WasRemoved || !isRecovering(Now)) {
+    note(ReplicaTransition::Kind::Refused, Id, Offered.Revision);
+    return false;
+  }
+  m_Entries[Id] = Offered;
+  note(ReplicaTransition::Kind::Presumed, Id, Offered.Revision);
+  return true;
 }
 
-bool ReplicaRegistry::replaceAll(std::vector<ReplicaRecord> Listed,
-                                 TimePoint Now) {
+bool ReplicaRegistry::removeUnlisted(const ReplicaList &List, TimePoint Now) {
+  std::set<ServerName> Stored;
+  for (const KnownReplica &Each : List.Replicas)
+    if (Each.Evidence == ReplicaEvidence::Stored)
+      Stored.insert(Each.Record.Id);
+  std::vector<ServerName> Missing;
+  for (const auto &[Id, Each] : m_Entries)
+    if (!Stored.contains(Id))
+      Missing.push_back(Id);
   bool Changed = false;
-  for (const ServerName &Id : missingFrom(Listed))
-    Changed = remove(Id, Now) || Changed;
-  for (ReplicaRecord &Record : Listed)
-    Changed = put(std::move(Record)) || Changed;
+  for (const ServerName &Id : Missing)
+    Changed = remove({.Id = Id, .Revision = List.AsOf}, Now) || Changed;
   return Changed;
 }
 
-bool ReplicaRegistry::adopt(std::vector<ReplicaRecord> Put,
-                            const std::vector<ServerName> &Gone) {
+bool ReplicaRegistry::merge(const ReplicaList &List, TimePoint Now) {
+  bool IsCurrent = List.AsOf >= m_AsOf;
+  bool Changed = IsCurrent && removeUnlisted(List, Now);
+  for (const KnownReplica &Each : List.Replicas)
+    if (Each.Evidence == ReplicaEvidence::Stored)
+      Changed = accept(Each, std::max(Each.Revision, List.AsOf)) || Changed;
+  for (const KnownReplica &Each : List.Replicas)
+    if (Each.Evidence == ReplicaEvidence::Presumed)
+      Changed = presume(Each, Now) || Changed;
+  advance(List.AsOf, Now);
+  return Changed;
+}
+
+bool ReplicaRegistry::merge(const ReplicaDelta &Delta, TimePoint Now) {
   bool Changed = false;
-  for (ReplicaRecord &Record : Put)
-    Changed = put(std::move(Record)) || Changed;
-  for (const ServerName &Id : Gone) {
-    m_Missing.erase(Id);
-    Changed = m_Entries.erase(Id) > 0 || Changed;
+  for (const RemovedReplica &Each : Delta.Removed)
+    Changed = remove(Each, Now) || Changed;
+  for (const KnownReplica &Each : Delta.Put) {
+    if (Each.Evidence == ReplicaEvidence::Stored) {
+      Changed = put(Each.Record, Each.Revision) || Changed;
+      continue;
+    }
+    RemovedReplica Missing{.Id = Each.Record.Id, .Revision = Delta.AsOf};
+    Changed = remove(Missing, Now) || Changed;
+    Changed = presume(Each, Now) || Changed;
   }
+  // What this VM read after the sender's earlier list may have been removed
+  // since, without a word of it in the changes.
+  if (m_AsOf <= Delta.Base)
+    advance(Delta.AsOf, Now);
   return Changed;
 }
 
-bool ReplicaRegistry::adoptAll(std::vector<ReplicaRecord> Used) {
-  std::vector<ServerName> Gone = missingFrom(Used);
-  return adopt(std::move(Used), Gone);
+void ReplicaRegistry::advance(StoreRevision Revision, TimePoint Now) {
+  m_AsOf = std::max(m_AsOf, Revision);
+  settle(Now);
 }
 
-void ReplicaRegistry::onStoreAnswered(TimePoint At) {
-  if (m_AnsweredAt && At <= *m_AnsweredAt)
-    return;
-  if (isStoreOut(At)) {
-    m_RecoveryUntil = At + m_Options.RecoveryGrace;
-    for (auto &[Id, Until] : m_Missing)
-      Until = m_RecoveryUntil;
+void ReplicaRegistry::settle(TimePoint Now) {
+  if (isSettled(Now)) {
+    m_SettledAsOf = m_AsOf;
+    std::erase_if(m_Removals, [this](const auto &Each) {
+      return Each.second.Revision <= m_SettledAsOf;
+    });
   }
-  m_AnsweredAt = At;
+  while (m_Removals.size() > MaxRemovals)
+    m_Removals.erase(m_Removals.begin());
+}
+
+bool ReplicaRegistry::onStoreContact(ContactSpan Span, TimePoint Now) {
+  m_Contact.add(Span);
+  return expire(Now);
 }
 
 bool ReplicaRegistry::expire(TimePoint Now) {
-  if (isStoreOut(Now))
+  if (!isSettled(Now))
     return false;
   auto Before = m_Entries.size();
-  for (auto Each = m_Missing.begin(); Each != m_Missing.end();) {
-    if (Now < Each->second) {
-      ++Each;
-      continue;
-    }
-    m_Entries.erase(Each->first);
-    Each = m_Missing.erase(Each);
-  }
+  std::erase_if(m_Entries, [this](const auto &Each) {
+    bool IsOver = Each.second.Evidence == ReplicaEvidence::Presumed;
+    if (IsOver)
+      note(ReplicaTransition::Kind::GaveUp, Each.first, Each.second.Revision);
+    return IsOver;
+  });
+  settle(Now);
   return m_Entries.size() != Before;
 }
 
--- a/packages/coordination/src/coordination/replicas/ReplicaRegistry.h
+++ b/packages/coordination/src/coordination/replicas/ReplicaRegistry.h
@@ -1,6 +1,9 @@
 #pragma once
 
-#include "coordination/replicas/ReplicaRecord.h"
+#include "coordination/replicas/KnownReplica.h"
+#include "coordination/replicas/ReplicaReport.h"
+#include "coordination/replicas/ReplicaTransition.h"
+#include "coordination/replicas/StoreContact.h"
 #include "core/time/Time.h"
 
 #include <map>
@@ -12,75 +15,111 @@
 /// @brief How long entries that are missing from the store stay in use.
 struct ReplicaRegistryOptions {
   /// How long after the store's recovery the entry of a live replica may still
-  /// be missing.
+  /// be missing from the store.
+  Milliseconds ReturnTime{2'000};
+  /// ReturnTime, and the time until a VM learns of an entry that is back.
   Milliseconds RecoveryGrace{2'600};
   /// Shortest store outage during which an entry can expire.
   Milliseconds MinOutage{2'400};
 };
 
-/// @brief Tracks the replicas to use, from their entries in the store.
+/// @brief Tracks the replicas to use, from their entries in the store, and what
+/// each is known by.
+///
+/// The store's history is linear, so evidence of a greater revision wins,
+/// whichever VM read it: an entry's own revision, and the revision as of which
+/// the whole list is known. Merging reports is commutative, associative and
+/// idempotent.
 ///
 /// During an outage of the store, entries expire because the replicas cannot
-/// renew them. Therefore an entry that goes missing around an outage stays in
-/// use until RecoveryGrace after the store's recovery. The length of an outage
-/// is the time between two successive answers of the store to this VM or to the
-/// VM that it follows. A VM's own failed calls are no evidence of an outage.
+/// renew them. Therefore an entry that goes missing around an outage is
+/// presumed to live until RecoveryGrace after the store's recovery. Such a
+/// presumption is passed on as one and never replaces evidence: a VM refuses it
+/// if it knows that the entry was removed, or that the store had no outage.
 class ReplicaRegistry {
 public:
-  using Entries = std::map<ServerName, ReplicaRecord>;
+  using Entries = std::map<ServerName, KnownReplica>;
 
   explicit ReplicaRegistry(ReplicaRegistryOptions Options)
-      : m_Options(Options) {}
+      : m_Options(Options), m_Contact(Options.MinOutage) {}
 
   /// @return Replicas that may get requests, and replicas that are leaving.
   [[nodiscard]] const Entries &entries() const { return m_Entries; }
-  /// @return Entries that went missing around an outage, with the time until
-  /// which each stays in use.
-  [[nodiscard]] const std::map<ServerName, TimePoint> &missing() const {
-    return m_Missing;
-  }
-  /// @return When expire() next has an entry to drop, or nullopt.
-  [[nodiscard]] std::optional<TimePoint> nextExpiry() const;
+  /// @return The revision as of which the list is complete.
+  [[nodiscard]] StoreRevision asOf() const { return m_AsOf; }
+  /// @return A revision as of which the store holds no entry of @p Id, which is
+  /// not in entries().
+  [[nodiscard]] StoreRevision removedAsOf(const ServerName &Id) const;
+  /// @return Number of entries that are only presumed.
+  [[nodiscard]] std::size_t presumed() const;
+  /// @return When the store answered any VM.
+  [[nodiscard]] const StoreContact &contact() const { return m_Contact; }
+  /// @return When the list last matched the store, as far as this VM knows.
+  [[nodiscard]] TimePoint confirmedAt() const { return m_ConfirmedAt; }
+  /// @return When presumptions end, or nullopt while the store is out.
+  [[nodiscard]] std::optional<TimePoint> presumedUntil(TimePoint Now) const;
+  /// @return Whether an entry may be missing because of an outage.
+  [[nodiscard]] bool isRecovering(TimePoint Now) const;
 
-  /// @brief Adds or updates one entry.
-  /// @return Whether anything that affects placement changed.
-  bool put(ReplicaRecord Record);
-  /// @brief Removes an entry, or keeps it for a while around an outage.
-  /// @return Whether the entry was removed.
-  bool remove(const ServerName &Id, TimePoint Now);
-  /// @brief Replaces all entries by those of a complete list.
+  /// @brief Adds or updates one entry, which the store holds.
   /// @return Whether anything that affects placement changed.
-  bool replaceAll(std::vector<ReplicaRecord> Listed, TimePoint Now);
-  /// @brief Applies the changes of the VM that this VM follows, without keeping
-  /// removed entries.
-  /// @param Gone Entries that it no longer uses.
+  bool put(ReplicaRecord Record, StoreRevision Revision);
+  /// @brief Removes an entry, or presumes its replica to live around an outage.
+  /// @return Whether the replica is no longer in use.
+  bool remove(const RemovedReplica &Removed, TimePoint Now);
+  /// @brief Merges a list that this or another VM read.
   /// @return Whether anything that affects placement changed.
-  bool adopt(std::vector<ReplicaRecord> Put,
-             const std::vector<ServerName> &Gone);
-  /// @brief Replaces all entries by those that the followed VM uses.
-  bool adoptAll(std::vector<ReplicaRecord> Used);
-  /// @brief Records that the store answered this VM, or the VM that it follows,
-  /// at @p At.
-  void onStoreAnswered(TimePoint At);
-  /// @brief Drops missing entries whose grace period has passed.
+  bool merge(const ReplicaList &List, TimePoint Now);
+  /// @brief Merges another VM's changes.
+  /// @return Whether anything that affects placement changed. If asOf() is
+  /// less than that of @p Delta afterwards, the changes do not suffice and the
+  /// sender's whole list is needed.
+  bool merge(const ReplicaDelta &Delta, TimePoint Now);
+  /// @brief Records that the list matched the store at @p At.
+  void confirm(TimePoint At);
+  /// @brief Records that all changes up to @p Revision have been applied.
+  void advance(StoreRevision Revision, TimePoint Now);
+  /// @brief Records when the store answered this or another VM.
+  /// @return Whether replicas are no longer in use, because this shows that
+  /// they were removed and did not expire in an outage.
+  bool onStoreContact(ContactSpan Span, TimePoint Now);
+  /// @brief Ends the use of presumed replicas that the store still lacked
+  /// ReturnTime after its recovery.
   bool expire(TimePoint Now);
+  /// @return What changed since the last call, oldest first.
+  [[nodiscard]] std::vector<ReplicaTransition> takeTransitions();
 
 private:
-  /// @return Whether the store has been out for long enough that entries may
-  /// have expired.
-  [[nodiscard]] bool isStoreOut(TimePoint Now) const;
-  /// @return Whether the store is out, or recovered less than RecoveryGrace
-  /// ago.
-  [[nodiscard]] bool isRecovering(TimePoint Now) const;
-  /// @return Entries that are not in @p Listed.
-  [[nodiscard]] std::vector<ServerName>
-  missingFrom(const std::vector<ReplicaRecord> &Listed) const;
+  struct Removal {
+    StoreRevision Revision;
+    /// Whether no outage could explain that the entry was missing.
+    bool IsSettled = false;
+  };
+
+  /// @param PresentAsOf A revision as of which the store held the entry.
+  bool accept(KnownReplica Stored, StoreRevision PresentAsOf);
+  bool update(KnownReplica &Known, KnownReplica Stored,
+              StoreRevision PresentAsOf);
+  bool presume(const KnownReplica &Offered, TimePoint Now);
+  bool removeUnlisted(const ReplicaList &List, TimePoint Now);
+  /// @return Whether no entry of the list may be missing because of an outage.
+  [[nodiscard]] bool isSettled(TimePoint Now) const;
+  /// @brief Forgets what the revision of the list implies by now.
+  void settle(TimePoint Now);
+  void note(ReplicaTransition::Kind What, const ServerName &Id,
+            StoreRevision Revision);
 
   ReplicaRegistryOptions m_Options;
   Entries m_Entries;
-  std::map<ServerName, TimePoint> m_Missing; ///< End of each one's use.
-  std::optional<TimePoint> m_AnsweredAt;     ///< When the store last answered.
-  TimePoint m_RecoveryUntil = TimePoint::min();
+  StoreRevision m_AsOf;
+  /// Revision of the list when no outage could explain a missing entry: what it
+  /// lacked was removed.
+  StoreRevision m_SettledAsOf;
+  /// Removals that m_SettledAsOf doesn't imply.
+  std::map<ServerName, Removal> m_Removals;
+  StoreContact m_Contact;
+  TimePoint m_ConfirmedAt = TimePoint::min();
+  std::vector<ReplicaTransition> m_Transitions;
 };
 
 } // namespace carawaypond
--- a/packages/coordination/src/coordination/replicas/fwd.h
+++ b/packages/coordination/src/coordination/replicas/fwd.h
@@ -2,9 +2,17 @@
 
 namespace carawaypond {
 
+enum class ReplicaEvidence;
 enum class ReplicaState;
-struct ReplicaRegistryOptions;
+struct ContactSpan;
+struct KnownReplica;
+struct RemovedReplica;
+struct ReplicaDelta;
+struct ReplicaList;
 struct ReplicaRecord;
+struct ReplicaRegistryOptions;
+struct ReplicaTransition;
 class ReplicaRegistry;
+class StoreContact;
 
 } // namespace carawaypond
--- a/packages/coordination/test/coordination/addresses/CallerDirectoryTest.cpp
+++ b/packages/coordination/test/coordination/addresses/CallerDirectoryTest.cpp
@@ -86,7 +86,7 @@
       Record.Service = ServiceName(Service);
       Record.Centre =
           DataCentre(Service == std::string("other") ? "c" : Centre);
-      Replicas.emplace(Record.Id, Record);
+      Replicas.emplace(Record.Id, KnownReplica{.Record = Record});
     }
   CHECK(shardCentres("h", Table, Replicas) ==
         std::set<DataCentre>{DataCentre("a"), DataCentre("b")});
--- a/packages/coordination/test/coordination/replicas/ReplicaRegistryTest.cpp
+++ b/packages/coordination/test/coordination/replicas/ReplicaRegistryTest.cpp
@@ -20,13 +20,34 @@
   return Record;
 }
 
+StoreRevision rev(std::uint64_t Value) { return StoreRevision(Value); }
+
+KnownReplica makeKnown(std::uint64_t Revision) {
+  return {.Record = makeRecord(), .Revision = rev(Revision)};
+}
+
+/// @brief The store answers at @p At, and the list matches it.
+void answer(ReplicaRegistry &Book, TimePoint At) {
+  Book.onStoreContact({.Since = At, .Until = At}, At);
+  Book.confirm(At);
+}
+
+/// @brief Reads a list without entries from the store.
+bool listNothing(ReplicaRegistry &Book, TimePoint Now) {
+  return Book.merge(ReplicaList{.AsOf = rev(50), .Replicas = {}}, Now);
+}
+
+bool removeEntry(ReplicaRegistry &Book, TimePoint Now) {
+  return Book.remove({.Id = Id, .Revision = rev(20)}, Now);
+}
+
 /// @return A registry with one entry, whose store answered every second until
 /// Start.
 ReplicaRegistry makeBook() {
   ReplicaRegistry Book(ReplicaRegistryOptions{});
-  Book.put(makeRecord());
+  Book.put(makeRecord(), rev(10));
   for (int Ago = 6'000; Ago >= 0; Ago -= 1'000)
-    Book.onStoreAnswered(Start - Milliseconds(Ago));
+    answer(Book, Start - Milliseconds(Ago));
   return Book;
 }
 
@@ -35,28 +56,30 @@
 TEST_CASE("an entry that is removed while the store is available is dropped at "
           "once") {
   ReplicaRegistry Book = makeBook();
-  CHECK(Book.remove(Id, Start));
+  CHECK(removeEntry(Book, Start));
   CHECK(Book.entries().empty());
 }
 
 TEST_CASE(
     "an entry that is removed around an outage stays in use for a while") {
   ReplicaRegistry Book({.RecoveryGrace = Milliseconds(2'600)});
-  Book.put(makeRecord());
-  Book.onStoreAnswered(Start);
+  Book.put(makeRecord(), rev(10));
+  answer(Book, Start);
   TimePoint Returned = Start + Milliseconds(5'000);
-  Book.onStoreAnswered(Returned);
-  CHECK_FALSE(Book.remove(Id, Returned + Milliseconds(10)));
+  answer(Book, Returned);
+  CHECK_FALSE(removeEntry(Book, Returned + Milliseconds(10)));
   CHECK(Book.entries().contains(Id));
   CHECK_FALSE(Book.expire(Returned + Milliseconds(2'500)));
-  Book.onStoreAnswered(Returned + Milliseconds(2'000));
+  answer(Book, Returned + Milliseconds(2'000));
 
   SUBCASE("it is dropped if it stays missing") {
+    Book.confirm(Returned + Milliseconds(2'700));
     CHECK(Book.expire(Returned + Milliseconds(2'700)));
     CHECK(Book.entries().empty());
   }
   SUBCASE("it stays if it comes back") {
-    Book.put(makeRecord());
+    Book.put(makeRecord(), rev(30));
+    Book.confirm(Returned + Milliseconds(2'700));
     CHECK_FALSE(Book.expire(Returned + Milliseconds(2'700)));
     CHECK(Book.entries().contains(Id));
   }
@@ -64,7 +87,7 @@
 
 TEST_CASE("a list without an entry counts as its removal") {
   ReplicaRegistry Book = makeBook();
-  CHECK(Book.replaceAll({}, Start));
+  CHECK(listNothing(Book, Start));
   CHECK(Book.entries().empty());
 }
 
@@ -73,36 +96,37 @@
   ReplicaRecord Newer = makeRecord();
   Newer.StartedAt = 200;
   Newer.Address = "10.0.0.2:80";
-  Book.put(Newer);
-  CHECK_FALSE(Book.put(makeRecord()));
-  CHECK(Book.entries().at(Id).Address == "10.0.0.2:80");
+  Book.put(Newer, rev(1));
+  CHECK_FALSE(Book.put(makeRecord(), rev(2)));
+  CHECK(Book.entries().at(Id).Record.Address == "10.0.0.2:80");
 }
 
 TEST_CASE("a progressing warm-up is no change, leaving is one") {
   ReplicaRegistry Book({});
-  Book.put(makeRecord());
+  Book.put(makeRecord(), rev(10));
   ReplicaRecord Later = makeRecord();
   Later.WarmupLeft = Milliseconds(1'800);
-  CHECK_FALSE(Book.put(Later));
+  CHECK_FALSE(Book.put(Later, rev(11)));
   Later.State = ReplicaState::Leaving;
-  CHECK(Book.put(Later));
+  CHECK(Book.put(Later, rev(12)));
 }
 
-TEST_CASE(
-    "the followed VM's changes apply while this VM cannot reach the store") {
+TEST_CASE("the followed VM's removals apply while this VM cannot reach the "
+          "store") {
   // Guards against a VM that lost the store and then followed another VM, but
   // kept entries of replicas that had left for ever.
   ReplicaRegistry Book = makeBook();
-  REQUIRE_FALSE(Book.remove(Id, Start + Milliseconds(10'000)));
+  TimePoint Now = Start + Milliseconds(10'000);
+  REQUIRE_FALSE(removeEntry(Book, Now));
+  Book.onStoreContact({.Since = Start, .Until = Now}, Now);
 
   SUBCASE("a single change") {
-    CHECK(Book.adopt({}, {Id}));
-    CHECK(Book.entries().empty());
-  }
-  SUBCASE("everything") {
-    CHECK(Book.adoptAll({}));
-    CHECK(Book.entries().empty());
+    ReplicaDelta Delta{.Base = {}, .AsOf = rev(50), .Put = {}, .Removed = {}};
+    Delta.Removed.push_back({.Id = Id, .Revision = rev(20)});
+    Book.merge(Delta, Now);
   }
+  SUBCASE("everything") { listNothing(Book, Now); }
+  CHECK(Book.entries().empty());
 }
 
 TEST_CASE(
@@ -112,11 +136,11 @@
   TimePoint Now = Start + Milliseconds(5'000);
   // For ten seconds the followed VM reports that the store answers it.
   for (int I = 0; I < 10; ++I) {
-    Book.onStoreAnswered(Now);
+    answer(Book, Now);
     Now += Milliseconds(1'000);
   }
-  Book.onStoreAnswered(Now);
-  CHECK(Book.replaceAll({}, Now));
+  answer(Book, Now);
+  CHECK(listNothing(Book, Now));
   CHECK(Book.entries().empty());
 }
 
@@ -124,25 +148,26 @@
           "entries") {
   ReplicaRegistry Book = makeBook();
   TimePoint Now = Start + Milliseconds(2'300);
-  Book.onStoreAnswered(Now);
-  CHECK(Book.remove(Id, Now));
+  answer(Book, Now);
+  CHECK(removeEntry(Book, Now));
 }
 
 TEST_CASE("a missing entry stays in use during a second outage") {
   ReplicaRegistry Book = makeBook();
   TimePoint Returned = Start + Milliseconds(5'000);
-  Book.onStoreAnswered(Returned);
-  REQUIRE_FALSE(Book.remove(Id, Returned));
+  answer(Book, Returned);
+  REQUIRE_FALSE(removeEntry(Book, Returned));
   TimePoint Again = Returned + Milliseconds(9'000);
   CHECK_FALSE(Book.expire(Again));
-  Book.onStoreAnswered(Again);
-  Book.onStoreAnswered(Again + Milliseconds(2'000));
+  answer(Book, Again);
+  answer(Book, Again + Milliseconds(2'000));
   CHECK_FALSE(Book.expire(Again + Milliseconds(2'500)));
+  Book.confirm(Again + Milliseconds(2'600));
   CHECK(Book.expire(Again + Milliseconds(2'600)));
 }
 
 TEST_CASE("an entry missing from a list stays in use only around an outage") {
-  rc::check([] {
+  CHECK(rc::check([] {
     const ReplicaRegistryOptions Options;
     ReplicaRegistry Book = makeBook();
     TimePoint Now = Start;
@@ -154,26 +179,135 @@
       Now += Milliseconds(Gap);
       if (Now - Before > Options.MinOutage)
         OutageEnd = Now;
-      Book.onStoreAnswered(Now);
+      answer(Book, Now);
       Before = Now;
     }
     bool IsNearOutage = OutageEnd != TimePoint::min() &&
                         Now < OutageEnd + Options.RecoveryGrace;
-    RC_ASSERT(Book.replaceAll({}, Now) != IsNearOutage);
+    RC_ASSERT(listNothing(Book, Now) != IsNearOutage);
     // It is not used after the grace period.
     TimePoint End = Now + Options.RecoveryGrace;
-    Book.onStoreAnswered(Now + Milliseconds(2'000));
+    answer(Book, Now + Milliseconds(2'000));
+    Book.confirm(End);
     Book.expire(End);
     RC_ASSERT(Book.entries().empty());
-  });
+  }));
 }
 
 TEST_CASE("a VM that starts during a store outage keeps the entries of the VM "
           "that it follows") {
   ReplicaRegistry Book({});
-  Book.adopt({makeRecord()}, {});
+  Book.merge(ReplicaList{.AsOf = rev(10), .Replicas = {makeKnown(10)}}, Start);
   TimePoint Returned = Start + Milliseconds(500);
-  Book.onStoreAnswered(Returned);
-  CHECK_FALSE(Book.replaceAll({}, Returned));
+  answer(Book, Returned);
+  CHECK_FALSE(listNothing(Book, Returned));
   CHECK(Book.entries().contains(Id));
 }
+
+TEST_CASE(
+    "DRAIN: a VM that was cut off from the store does not revive replicas "
+    "that another VM knows to be gone") {
+  // Both knew the replica at revision 10, until one was cut off at Start.
+  ReplicaRegistry Reader = makeBook();
+  ReplicaRegistry CutOff = makeBook();
+  for (int After = 500; After <= 8'500; After += 500)
+    answer(Reader, Start + Milliseconds(After));
+  TimePoint Removed = Start + Milliseconds(8'600);
+  answer(Reader, Removed);
+  REQUIRE(removeEntry(Reader, Removed));
+  Reader.advance(rev(20), Removed);
+
+  TimePoint Back = Start + Milliseconds(9'100);
+  answer(CutOff, Back);
+  CutOff.merge(ReplicaList{.AsOf = rev(21), .Replicas = {}}, Back);
+  REQUIRE(CutOff.entries().contains(Id));
+  REQUIRE(CutOff.entries().at(Id).Evidence == ReplicaEvidence::Presumed);
+
+  // The first VM goes back to following the second one, which reads the store.
+  TimePoint Now = Back + Milliseconds(200);
+  Reader.onStoreContact(*CutOff.contact().latest(), Now);
+  Reader.merge(
+      ReplicaList{.AsOf = CutOff.asOf(), .Replicas = {CutOff.entries().at(Id)}},
+      Now);
+  CHECK(Reader.entries().empty());
+
+  // The second VM hears that the store answered the first all the time.
+  CutOff.onStoreContact(*Reader.contact().latest(), Now);
+  CHECK(CutOff.entries().empty());
+}
+
+TEST_CASE("a VM that reads a short list after an outage does not take the "
+          "others' replicas away") {
+  // The mirror of the case above: after an outage of the store for all VMs, a
+  // VM that has just started lists no entry, as all have expired.
+  ReplicaRegistry Knowing = makeBook();
+  ReplicaRegistry Started{ReplicaRegistryOptions{}};
+  TimePoint Returned = Start + Milliseconds(6'000);
+  answer(Started, Returned);
+  Started.merge(ReplicaList{.AsOf = rev(60), .Replicas = {}}, Returned);
+
+  TimePoint Now = Returned + Milliseconds(100);
+  Knowing.onStoreContact(*Started.contact().latest(), Now);
+  Knowing.merge(ReplicaList{.AsOf = Started.asOf(), .Replicas = {}}, Now);
+  REQUIRE(Knowing.entries().contains(Id));
+  CHECK(Knowing.presumed() == 1);
+
+  SUBCASE("the VM that has started takes the presumption over, as one") {
+    Started.merge(ReplicaList{.AsOf = Knowing.asOf(),
+                              .Replicas = {Knowing.entries().at(Id)}},
+                  Now);
+    CHECK(Started.presumed() == 1);
+  }
+  SUBCASE("the replica's entry is back") {
+    CHECK_FALSE(Knowing.put(makeRecord(), rev(61)));
+    CHECK(Knowing.presumed() == 0);
+  }
+  SUBCASE("it stays missing") {
+    TimePoint End = Returned + Milliseconds(2'600);
+    answer(Knowing, Returned + Milliseconds(1'300));
+    answer(Knowing, End);
+    CHECK(Knowing.expire(End));
+    CHECK(Knowing.entries().empty());
+  }
+}
+
+TEST_CASE("a presumption is refused if the entry was removed before the "
+          "outage") {
+  ReplicaRegistry Book = makeBook();
+  REQUIRE(removeEntry(Book, Start));
+  Book.advance(rev(20), Start);
+  TimePoint Returned = Start + Milliseconds(6'000);
+  answer(Book, Returned);
+  REQUIRE(Book.isRecovering(Returned));
+  KnownReplica Offered = makeKnown(10);
+  Offered.Evidence = ReplicaEvidence::Presumed;
+  Book.merge(ReplicaList{.AsOf = rev(20), .Replicas = {Offered}}, Returned);
+  CHECK(Book.entries().empty());
+  CHECK(Book.takeTransitions().back().What == ReplicaTransition::Kind::Refused);
+}
+
+TEST_CASE("an older list or change does not undo a newer one") {
+  ReplicaRegistry Book = makeBook();
+  REQUIRE(removeEntry(Book, Start));
+  Book.advance(rev(20), Start);
+  CHECK_FALSE(Book.put(makeRecord(), rev(10)));
+  CHECK_FALSE(Book.merge(
+      ReplicaList{.AsOf = rev(15), .Replicas = {makeKnown(10)}}, Start));
+  CHECK(Book.entries().empty());
+  CHECK(Book.put(makeRecord(), rev(25)));
+  CHECK_FALSE(removeEntry(Book, Start));
+  CHECK_FALSE(Book.merge(ReplicaList{.AsOf = rev(22), .Replicas = {}}, Start));
+  CHECK(Book.entries().contains(Id));
+}
+
+TEST_CASE("changes do not complete a list that is newer than their base") {
+  ReplicaRegistry Book = makeBook();
+  Book.advance(rev(40), Start);
+  ReplicaDelta Delta{
+      .Base = rev(30), .AsOf = rev(50), .Put = {}, .Removed = {}};
+  Book.merge(Delta, Start);
+  CHECK(Book.asOf() == rev(40));
+  Delta.Base = rev(40);
+  Book.merge(Delta, Start);
+  CHECK(Book.asOf() == rev(50));
+}
--- a/packages/core/src/core/id/Ids.h
+++ b/packages/core/src/core/id/Ids.h
@@ -23,6 +23,8 @@
 using IndexVersion = StrongId<struct IndexVersionTag, std::uint64_t>;
 /// @brief The number of a service's configuration; greater is newer.
 using ConfigVersion = StrongId<struct ConfigVersionTag, std::uint64_t>;
+/// @brief A revision of the platform's store; each change has a greater one.
+using StoreRevision = StrongId<struct StoreRevisionTag, std::uint64_t>;
 /// @brief One run of a VM's daemon; each restart has a greater incarnation.
 using Incarnation = StrongId<struct IncarnationTag, std::uint64_t>;
 /// @brief One submission by an operator; the operator's tool assigns it.
--- a/packages/gateway/src/gateway/app/Gateway.cpp
+++ b/packages/gateway/src/gateway/app/Gateway.cpp
@@ -218,7 +218,9 @@
 Heartbeat Gateway::Impl::beat() const {
   return {.Vm = describe(),
           .ConfigVersion = m_State.configVersion(),
-          .ReplicaRevision = m_State.replicaRevision()};
+          .ReplicaRevision = m_State.replicaRevision(),
+          .Presumed = m_State.replicas().presumed(),
+          .Contact = m_State.storeContact()};
 }
 
 Result<void> Gateway::Impl::open() {
--- a/packages/gateway/src/gateway/app/MetricsText.cpp
+++ b/packages/gateway/src/gateway/app/MetricsText.cpp
@@ -36,6 +36,8 @@
   addLine(Text, "traffic_delay_milliseconds_max", Counters.LongestDelayMs);
   addLine(Text, "config_version", State.configVersion());
   addLine(Text, "replicas_known", State.replicas().entries().size());
+  addLine(Text, "replicas_presumed", State.replicas().presumed());
+  addLine(Text, "store_objects_unreadable_total", State.unreadable());
   addLine(Text, "config_age_milliseconds", State.configAge().count());
   addLine(Text, "replicas_age_milliseconds", State.replicaAge().count());
   addLine(Text, "vms_known", State.vms().known().size() + 1);
--- a/packages/gateway/src/gateway/control/FleetState.cpp
+++ b/packages/gateway/src/gateway/control/FleetState.cpp
@@ -16,6 +16,27 @@
   return std::chrono::duration_cast<Milliseconds>(Now - From);
 }
 
+const char *eventOf(ReplicaTransition::Kind Of) {
+  using Kind = ReplicaTransition::Kind;
+  switch (Of) {
+  case Kind::Added:
+  case Kind::Updated:
+    return "replica_changed";
+  case Kind::Missing:
+    return "replica_missing";
+  case Kind::Presumed:
+    return "replica_presumed";
+  case Kind::Revived:
+    return "replica_revived";
+  case Kind::Refused:
+    return "replica_refused";
+  case Kind::Removed:
+  case Kind::GaveUp:
+    break;
+  }
+  return "replica_gone";
+}
+
 } // namespace
 
 FleetState::FleetState(VmName Self, ReplicaRegistryOptions BookOptions,
@@ -49,104 +70,158 @@
   m_Log.write(Line);
 }
 
-void FleetState::replaceReplicas(std::vector<ReplicaRecord> Listed,
-                                 std::uint64_t Revision,
-                                 std::string_view Source) {
+void FleetState::mergeReplicas(const ReplicaList &List,
+                               std::string_view Source) {
   LogLine Line("replicas_listed");
-  Line.add("count", static_cast<std::uint64_t>(Listed.size()));
-  Line.add("revision", Revision);
+  Line.add("count", static_cast<std::uint64_t>(List.Replicas.size()));
+  Line.add("revision", List.AsOf.value());
+  Line.add("known_revision", m_Book.asOf().value());
   Line.add("source", Source);
   m_Log.write(Line);
-  bool IsFromStore = Source == StoreSource;
-  std::map<ServerName, TimePoint> Before = m_Book.missing();
-  bool Changed = IsFromStore
-                     ? m_Book.replaceAll(std::move(Listed), monotonicNow())
-                     : m_Book.adoptAll(std::move(Listed));
-  logMissing(Before);
-  m_ReplicaRevision = Revision;
-  m_HasUnpublished = m_HasUnpublished || Changed || !m_HasReplicas;
+  m_Book.merge(List, monotonicNow());
+  onReplicasChanged(Source);
+  m_HasUnpublished = m_HasUnpublished || !m_HasReplicas;
   m_HasReplicas = true;
 }
 
-void FleetState::putReplica(ReplicaRecord Record) {
-  LogLine Line("replica_changed");
-  Line.add("replica", Record.Id.value());
-  Line.add("service", Record.Service.value());
-  Line.add("leaving", Record.State == ReplicaState::Leaving);
-  Line.add("warmup_ms", Record.WarmupLeft.count());
-  if (!m_Book.put(std::move(Record)))
-    return;
-  m_Log.write(Line);
-  m_HasUnpublished = true;
+bool FleetState::mergeReplicas(const ReplicaDelta &Delta,
+                               std::string_view Source) {
+  LogLine Line("replicas_changed");
+  Line.add("put", static_cast<std::uint64_t>(Delta.Put.size()));
+  Line.add("gone", static_cast<std::uint64_t>(Delta.Removed.size()));
+  Line.add("revision", Delta.AsOf.value());
+  Line.add("source", Source);
+  if (m_Book.merge(Delta, monotonicNow()))
+    m_Log.write(Line);
+  onReplicasChanged(Source);
+  return m_Book.asOf() >= Delta.AsOf;
+}
+
+void FleetState::putReplica(ReplicaRecord Record, StoreRevision Revision) {
+  m_Book.put(std::move(Record), Revision);
+  onReplicasChanged(StoreSource);
+}
+
+void FleetState::removeReplica(const RemovedReplica &Removed) {
+  m_Book.remove(Removed, monotonicNow());
+  onReplicasChanged(StoreSource);
+}
+
+void FleetState::advanceReplicas(StoreRevision Revision) {
+  m_Book.advance(Revision, monotonicNow());
 }
 
-void FleetState::removeReplica(const ServerName &Id) {
-  if (!m_Book.entries().contains(Id))
+void FleetState::onUnnamed(std::string_view Kind, std::size_t Count) {
+  if (Count == 0)
     return;
-  std::map<ServerName, TimePoint> Before = m_Book.missing();
-  bool Changed = m_Book.remove(Id, monotonicNow());
-  logMissing(Before);
-  m_HasUnpublished = m_HasUnpublished || Changed;
+  onUnreadable(Count);
+  LogLine Line("store_objects_unnamed");
+  Line.add("kind", Kind);
+  Line.add("count", static_cast<std::uint64_t>(Count));
+  m_Log.write(Line);
 }
 
-void FleetState::applyChanges(std::vector<ReplicaRecord> Put,
-                              const std::vector<ServerName> &Gone,
-                              std::uint64_t Revision) {
-  LogLine Line("replicas_changed");
-  Line.add("put", static_cast<std::uint64_t>(Put.size()));
-  Line.add("gone", static_cast<std::uint64_t>(Gone.size()));
-  Line.add("revision", Revision);
-  bool Changed = m_Book.adopt(std::move(Put), Gone);
-  if (Changed)
-    m_Log.write(Line);
-  m_HasUnpublished = m_HasUnpublished || Changed;
-  m_ReplicaRevision = std::max(m_ReplicaRevision, Revision);
-  publish();
+void FleetState::onReplicasChanged(std::string_view Source) {
+  bool IsFirstList = !m_HasReplicas;
+  for (const ReplicaTransition &Each : m_Book.takeTransitions()) {
+    m_HasUnpublished = true;
+    if (!IsFirstList)
+      log(Each, Source);
+  }
 }
 
-void FleetState::logMissing(const std::map<ServerName, TimePoint> &Before) {
-  for (const auto &[Id, Until] : m_Book.missing()) {
-    if (Before.contains(Id))
-      continue;
-    LogLine Line("replica_missing");
-    Line.add("replica", Id.value());
-    Line.add("believed_ms", ageOf(monotonicNow(), Until).count());
-    m_Log.write(Line);
+void FleetState::log(const ReplicaTransition &Change, std::string_view Source) {
+  using Kind = ReplicaTransition::Kind;
+  switch (Change.What) {
+  case Kind::Added:
+  case Kind::Updated:
+    return logStored(Change, Source);
+  case Kind::Missing:
+  case Kind::Presumed:
+  case Kind::Revived:
+  case Kind::Refused:
+  case Kind::Removed:
+  case Kind::GaveUp:
+    break;
   }
+  LogLine Line(eventOf(Change.What));
+  Line.add("replica", Change.Id.value());
+  Line.add("revision", Change.Revision.value());
+  Line.add("known_revision", m_Book.asOf().value());
+  Line.add("source", Source);
+  Line.add("unconfirmed_ms", replicaAge().count());
+  if (Change.What == Kind::Removed || Change.What == Kind::GaveUp)
+    Line.add("was_presumed", Change.What == Kind::GaveUp);
+  TimePoint Now = monotonicNow();
+  if (auto Until = m_Book.presumedUntil(Now))
+    Line.add("presumed_ms", ageOf(Now, *Until).count());
+  m_Log.write(Line);
 }
 
-void FleetState::logWithdrawn(std::uint64_t Sequence) {
+void FleetState::logStored(const ReplicaTransition &Change,
+                           std::string_view Source) {
+  auto Found = m_Book.entries().find(Change.Id);
+  if (Found == m_Book.entries().end())
+    return;
+  const ReplicaRecord &Record = Found->second.Record;
+  LogLine Line("replica_changed");
+  Line.add("replica", Record.Id.value());
+  Line.add("service", Record.Service.value());
+  Line.add("leaving", Record.State == ReplicaState::Leaving);
+  Line.add("warmup_ms", Record.WarmupLeft.count());
+  Line.add("revision", Change.Revision.value());
+  Line.add("source", Source);
+  m_Log.write(Line);
+}
+
+void FleetState::logLeaving(std::uint64_t Sequence) {
   auto Changes = m_ReplicaChanges.since(Sequence);
   if (!Changes)
     return;
   for (const ReplicaChanges::Change &Each : *Changes) {
-    bool IsLeaving = Each.Record && Each.Record->State == ReplicaState::Leaving;
-    if (Each.Record && !IsLeaving)
+    if (!Each.Replica || Each.Replica->Record.State != ReplicaState::Leaving)
       continue;
-    LogLine Line(IsLeaving ? "replica_leaving" : "replica_gone");
+    LogLine Line("replica_leaving");
     Line.add("replica", Each.Id.value());
+    Line.add("revision", Each.Replica->Revision.value());
     Line.add("unconfirmed_ms", replicaAge().count());
     m_Log.write(Line);
   }
 }
 
+std::optional<ContactAge> FleetState::storeContact() const {
+  auto Latest = m_Book.contact().latest();
+  if (!Latest)
+    return std::nullopt;
+  return ContactAge::of(*Latest, monotonicNow());
+}
+
 Milliseconds FleetState::replicaAge() const {
-  return ageOf(m_ReplicasConfirmedAt, monotonicNow());
+  return ageOf(std::max(m_StartedAt, m_Book.confirmedAt()), monotonicNow());
 }
 
 Milliseconds FleetState::configAge() const {
   return ageOf(m_ConfigConfirmedAt, monotonicNow());
 }
 
-void FleetState::confirmReplicas(TimePoint At) {
-  m_ReplicasConfirmedAt = std::max(m_ReplicasConfirmedAt, At);
-}
+void FleetState::confirmReplicas(TimePoint At) { m_Book.confirm(At); }
 
 void FleetState::confirmConfig(TimePoint At) {
   m_ConfigConfirmedAt = std::max(m_ConfigConfirmedAt, At);
 }
 
-void FleetState::onStoreAnswered(TimePoint At) { m_Book.onStoreAnswered(At); }
+void FleetState::onStoreAnswered(TimePoint At) {
+  m_Book.onStoreContact({.Since = At, .Until = At}, monotonicNow());
+  onReplicasChanged(StoreSource);
+  publish();
+}
+
+void FleetState::onStoreContact(const ContactAge &Age) {
+  TimePoint Now = monotonicNow();
+  m_Book.onStoreContact(Age.spanAt(Now), Now);
+  onReplicasChanged(PeerSource);
+  publish();
+}
 
 bool FleetState::onHeartbeat(const LoadedVm &Vm) {
   return m_Vms.onHeartbeat(Vm, monotonicNow());
@@ -162,7 +237,8 @@
 
 void FleetState::tick() {
   TimePoint Now = monotonicNow();
-  m_HasUnpublished = m_Book.expire(Now) || m_HasUnpublished;
+  m_Book.expire(Now);
+  onReplicasChanged(StoreSource);
   m_Vms.expire(Now);
   double Share = m_Vms.share(m_OwnLoad(), Now);
   if (std::abs(Share - m_Share) > ShareStep * m_Share) {
@@ -178,13 +254,13 @@
   m_HasUnpublished = false;
   ++m_Changes;
   std::uint64_t Before = m_ReplicaChanges.sequence();
-  m_ReplicaChanges.follow(m_Book.entries());
-  logWithdrawn(Before);
+  m_ReplicaChanges.follow(m_Book);
+  logLeaving(Before);
   m_Signal.notify();
   auto View = std::make_shared<TrafficView>();
   View->Table = m_Table;
-  for (const auto &[Id, Record] : m_Book.entries())
-    View->Replicas.push_back(Record);
+  for (const auto &[Id, Known] : m_Book.entries())
+    View->Replicas.push_back(Known.Record);
   View->Share = m_Share;
   View->HasReplicas = m_HasReplicas;
   m_OnChange(std::move(View));
--- a/packages/gateway/src/gateway/control/FleetState.h
+++ b/packages/gateway/src/gateway/control/FleetState.h
@@ -4,6 +4,7 @@
 #include "coordination/replicas/ReplicaRegistry.h"
 #include "coordination/routing/RoutingTable.h"
 #include "gateway/control/ChangeSignal.h"
+#include "gateway/control/ContactAge.h"
 #include "gateway/control/ReplicaChanges.h"
 #include "gateway/log/EventLog.h"
 #include "gateway/traffic/TrafficView.h"
@@ -20,6 +21,10 @@
 
 /// Value of the log field "source" for data that was read from the store.
 inline constexpr std::string_view StoreSource = "store";
+/// Value of that field for data that another VM sent.
+inline constexpr std::string_view PeerSource = "peer";
+/// Value of that field for data of the VM that this one follows.
+inline constexpr std::string_view ReaderSource = "reader";
 
 /// @brief This VM's copy of the configuration, the replica list and the
 /// registry of VMs. Used by the control thread only.
@@ -44,10 +49,11 @@
     return m_ConfigDocument;
   }
   [[nodiscard]] std::uint64_t configVersion() const;
-  /// @return The store revision that the replica list corresponds to.
-  [[nodiscard]] std::uint64_t replicaRevision() const {
-    return m_ReplicaRevision;
-  }
+  /// @return The store revision as of which the replica list is complete.
+  [[nodiscard]] StoreRevision replicaRevision() const { return m_Book.asOf(); }
+  /// @return How long ago the store first and last answered any VM in the
+  /// latest period without an outage; std::nullopt if it never did.
+  [[nodiscard]] std::optional<ContactAge> storeContact() const;
   /// @return Time since the replica list was last known to match the store, or
   /// since the start if it never was.
   [[nodiscard]] Milliseconds replicaAge() const;
@@ -62,6 +68,9 @@
   [[nodiscard]] const VmTracker &vms() const { return m_Vms; }
   /// @return The number of views published so far.
   [[nodiscard]] std::uint64_t changes() const { return m_Changes; }
+  /// @return Number of objects in the store's answers that were left out
+  /// because they could not be read.
+  [[nodiscard]] std::uint64_t unreadable() const { return m_Unreadable; }
   /// @return Whether the replica list has been read at least once.
   [[nodiscard]] bool hasReplicas() const { return m_HasReplicas; }
   /// @return Whether requests can be served.
@@ -70,20 +79,31 @@
   /// @brief Applies a configuration if it is newer than the one in force.
   /// @param Source Where it came from, for the log.
   void applyConfig(const nlohmann::json &Document, std::string_view Source);
-  void replaceReplicas(std::vector<ReplicaRecord> Listed,
-                       std::uint64_t Revision, std::string_view Source);
-  void putReplica(ReplicaRecord Record);
-  void removeReplica(const ServerName &Id);
-  void setReplicaRevision(std::uint64_t Revision) {
-    m_ReplicaRevision = Revision;
-  }
+  /// @brief Merges a list of replicas that this or another VM read.
+  /// @param Source Where it came from, for the log.
+  void mergeReplicas(const ReplicaList &List, std::string_view Source);
+  /// @brief Merges the changes of the VM that this one follows.
+  /// @return Whether this VM now knows all that the other one knows; if not, it
+  /// needs the whole list.
+  bool mergeReplicas(const ReplicaDelta &Delta, std::string_view Source);
+  /// @brief Applies a change of one entry, which was read from the store.
+  void putReplica(ReplicaRecord Record, StoreRevision Revision);
+  void removeReplica(const RemovedReplica &Removed);
+  /// @brief Records that all changes of the store up to @p Revision have been
+  /// applied.
+  void advanceReplicas(StoreRevision Revision);
+  /// @brief Counts objects of the store that could not be read.
+  void onUnreadable(std::size_t Count) { m_Unreadable += Count; }
+  /// @brief Counts and logs objects of the store that not even have a name.
+  void onUnnamed(std::string_view Kind, std::size_t Count);
   /// @brief Records that the replica list matched the store at @p At.
   void confirmReplicas(TimePoint At);
   /// @brief Records that the configuration matched the store at @p At.
   void confirmConfig(TimePoint At);
-  /// @brief Records that the store answered this VM, or the VM that it follows,
-  /// at @p At.
+  /// @brief Records that the store answered this VM at @p At.
   void onStoreAnswered(TimePoint At);
+  /// @brief Records when the store answered other VMs, as one of them says.
+  void onStoreContact(const ContactAge &Age);
   /// @brief Wakes the calls of VMs that follow this one, so that they learn
   /// that it lost the store.
   void onStoreLost() { m_Signal.notify(); }
@@ -97,10 +117,6 @@
   void tick();
   /// @brief Publishes a new view if anything changed since the last one.
   void publish();
-  /// @brief Applies replica changes that another VM published.
-  void applyChanges(std::vector<ReplicaRecord> Put,
-                    const std::vector<ServerName> &Gone,
-                    std::uint64_t Revision);
   /// @return The signal that is notified whenever a view is published.
   [[nodiscard]] ChangeSignal &signal() { return m_Signal; }
   [[nodiscard]] const ReplicaChanges &replicaChanges() const {
@@ -108,19 +124,20 @@
   }
 
 private:
-  /// @brief Logs the replicas that became leaving or were removed after the
-  /// change @p Sequence, and so get no more requests.
-  void logWithdrawn(std::uint64_t Sequence);
-  /// @brief Logs the replicas that are missing now and are not in @p Before.
-  void logMissing(const std::map<ServerName, TimePoint> &Before);
+  /// @brief Logs the replicas that became leaving after the change
+  /// @p Sequence, and so get no more requests.
+  void logLeaving(std::uint64_t Sequence);
+  /// @brief Logs what became of replicas, and has it published.
+  void onReplicasChanged(std::string_view Source);
+  void log(const ReplicaTransition &Change, std::string_view Source);
+  void logStored(const ReplicaTransition &Change, std::string_view Source);
 
   EventLog &m_Log;
   Publish m_OnChange;
   std::shared_ptr<const RoutingTable> m_Table;
   nlohmann::json m_ConfigDocument;
   ReplicaRegistry m_Book;
-  std::uint64_t m_ReplicaRevision = 0;
-  TimePoint m_ReplicasConfirmedAt = monotonicNow();
+  TimePoint m_StartedAt = monotonicNow();
   TimePoint m_ConfigConfirmedAt = monotonicNow();
   VmTracker m_Vms;
   OwnLoad m_OwnLoad;
@@ -128,6 +145,7 @@
   ReplicaChanges m_ReplicaChanges;
   ChangeSignal m_Signal;
   std::uint64_t m_Changes = 0;
+  std::uint64_t m_Unreadable = 0;
   bool m_HasReplicas = false;
   bool m_HasUnpublished = false;
 };
--- a/packages/gateway/src/gateway/control/ReaderFollower.cpp
+++ b/packages/gateway/src/gateway/control/ReaderFollower.cpp
@@ -33,10 +33,7 @@
       continue;
     }
     bool IsUseful = Answer.value().ReadsStore;
-    if (isBehind(Answer.value()))
-      co_await m_Pause.wait(m_Options.RolePause);
-    else
-      apply(std::move(Answer.value()));
+    apply(std::move(Answer.value()));
     if (!IsUseful)
       m_Role.onReaderFailed("it lost the store");
   }
@@ -65,29 +62,37 @@
   co_return std::move(*Read);
 }
 
-bool ReaderFollower::isBehind(const ChangesResponse &Answer) const {
-  return Answer.IsWhole && m_State.hasReplicas() &&
-         Answer.ReplicaAge > m_State.replicaAge();
+void ReaderFollower::apply(const ReplicaList &List, bool HasReplicas) {
+  if (HasReplicas)
+    m_State.mergeReplicas(List, ReaderSource);
+  m_KnownRevision = List.AsOf;
+}
+
+void ReaderFollower::apply(ReplicaDelta Delta) {
+  Delta.Base = m_KnownRevision;
+  m_KnownRevision = Delta.AsOf;
+  if (!m_State.mergeReplicas(Delta, ReaderSource))
+    m_Known.Sequence = 0;
 }
 
 void ReaderFollower::apply(ChangesResponse Answer) {
   m_Known.IncarnationNumber = Answer.IncarnationNumber;
   m_Known.Sequence = Answer.Sequence;
   if (!Answer.Config.is_null())
-    m_State.applyConfig(Answer.Config, "reader");
-  if (Answer.IsWhole && Answer.HasReplicas)
-    m_State.replaceReplicas(std::move(Answer.Put), Answer.ReplicaRevision,
-                            "reader");
-  else if (!Answer.IsWhole)
-    m_State.applyChanges(std::move(Answer.Put), Answer.Gone,
-                         Answer.ReplicaRevision);
+    m_State.applyConfig(Answer.Config, ReaderSource);
+  // It decides what a missing entry means.
+  if (Answer.Contact)
+    m_State.onStoreContact(*Answer.Contact);
+  if (auto *List = std::get_if<ReplicaList>(&Answer.Replicas))
+    apply(*List, Answer.HasReplicas);
+  else
+    apply(std::get<ReplicaDelta>(std::move(Answer.Replicas)));
   for (const LoadedVm &Each : Answer.RemoteVms)
     m_State.onRelayedVm(Each);
   m_State.publish();
   TimePoint Now = monotonicNow();
   m_State.confirmReplicas(Now - Answer.ReplicaAge);
   m_State.confirmConfig(Now - Answer.ConfigAge);
-  m_State.onStoreAnswered(Now - Answer.ReplicaAge);
 }
 
 } // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/control/ReaderFollower.h
+++ b/packages/gateway/src/gateway/control/ReaderFollower.h
@@ -26,10 +26,9 @@
 
 private:
   boost::asio::awaitable<Result<ChangesResponse>> ask(std::string Address);
-  /// @return Whether @p Answer holds a full replica list that is older than
-  /// this VM's own.
-  [[nodiscard]] bool isBehind(const ChangesResponse &Answer) const;
   void apply(ChangesResponse Answer);
+  void apply(const ReplicaList &List, bool HasReplicas);
+  void apply(ReplicaDelta Delta);
 
   boost::asio::io_context &m_Context;
   FleetState &m_State;
@@ -38,6 +37,8 @@
   RetryPause m_Pause;
   std::unique_ptr<http::Connection> m_Peer;
   ChangesRequest m_Known;
+  /// Revision as of which the followed VM's last answer was complete.
+  StoreRevision m_KnownRevision;
 };
 
 } // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/control/ReplicaChanges.cpp
+++ b/packages/gateway/src/gateway/control/ReplicaChanges.cpp
@@ -15,28 +15,30 @@
   return Changes;
 }
 
-void ReplicaChanges::follow(const ReplicaRegistry::Entries &Now) {
+void ReplicaChanges::follow(const ReplicaRegistry &Now) {
   std::vector<ServerName> Gone;
-  for (const auto &[Id, Record] : m_Known)
-    if (!Now.contains(Id))
+  for (const auto &[Id, Replica] : m_Known)
+    if (!Now.entries().contains(Id))
       Gone.push_back(Id);
   for (const ServerName &Id : Gone) {
     m_Known.erase(Id);
-    add(Id, std::nullopt);
+    add({.Id = Id, .Replica = {}, .RemovedAsOf = Now.removedAsOf(Id)});
   }
-  for (const auto &[Id, Record] : Now) {
+  for (const auto &[Id, Replica] : Now.entries()) {
     auto Found = m_Known.find(Id);
-    if (Found != m_Known.end() && Found->second == Record)
+    bool IsKnown = Found != m_Known.end() &&
+                   Found->second.Record == Replica.Record &&
+                   Found->second.Evidence == Replica.Evidence;
+    if (IsKnown)
       continue;
-    m_Known[Id] = Record;
-    add(Id, Record);
+    m_Known[Id] = Replica;
+    add({.Id = Id, .Replica = Replica});
   }
 }
 
-void ReplicaChanges::add(const ServerName &Id,
-                         std::optional<ReplicaRecord> Record) {
-  m_Changelog.push_back(
-      {.Sequence = ++m_Sequence, .Id = Id, .Record = std::move(Record)});
+void ReplicaChanges::add(Change Added) {
+  Added.Sequence = ++m_Sequence;
+  m_Changelog.push_back(std::move(Added));
   if (m_Changelog.size() > MaxChanges)
     m_Changelog.pop_front();
 }
--- a/packages/gateway/src/gateway/control/ReplicaChanges.h
+++ b/packages/gateway/src/gateway/control/ReplicaChanges.h
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <optional>
 #include <vector>
 
@@ -20,7 +19,8 @@
   struct Change {
     std::uint64_t Sequence = 0;
     ServerName Id;
-    std::optional<ReplicaRecord> Record; ///< New record; empty if removed.
+    std::optional<KnownReplica> Replica; ///< What is known; empty if removed.
+    StoreRevision RemovedAsOf;           ///< Set if it was removed.
   };
 
   /// @return The sequence number of the latest change; 0 before the first.
@@ -31,12 +31,12 @@
   since(std::uint64_t Sequence) const;
 
   /// @brief Appends the differences between the last known list and @p Now.
-  void follow(const ReplicaRegistry::Entries &Now);
+  void follow(const ReplicaRegistry &Now);
 
 private:
   static constexpr std::size_t MaxChanges = 4'096;
 
-  void add(const ServerName &Id, std::optional<ReplicaRecord> Record);
+  void add(Change Added);
 
   ReplicaRegistry::Entries m_Known;
   std::deque<Change> m_Changelog;
--- a/packages/gateway/src/gateway/control/ReplicaSink.cpp
+++ b/packages/gateway/src/gateway/control/ReplicaSink.cpp
@@ -2,41 +2,60 @@
 
 #include "adapter/ReplicaCodec.h"
 
-#include <algorithm>
-
 namespace carawaypond::gateway {
 
+namespace {
+
+/// Bounds memory; beyond it, entries are logged again.
+constexpr std::size_t MaxUnreadable = 1'000;
+
+} // namespace
+
 const char *ReplicaSink::kind() { return adapter::ReplicaKind; }
 
 void ReplicaSink::listed(const adapter::StoredDocument &Document) {
-  if (auto Read = adapter::decodeReplica(Document.Name, Document.Content))
-    m_Listed.push_back(std::move(*Read));
-  else
-    logUnreadable(Document.Name);
+  auto Read = adapter::decodeReplica(Document.Name, Document.Content);
+  if (!Read)
+    return logUnreadable(Document);
+  m_Listed.push_back({.Record = std::move(*Read),
+                      .Revision = StoreRevision(Document.Revision)});
 }
 
 void ReplicaSink::endList(std::uint64_t Revision) {
-  m_State.replaceReplicas(std::move(m_Listed), Revision, StoreSource);
+  m_State.mergeReplicas(
+      {.AsOf = StoreRevision(Revision), .Replicas = std::move(m_Listed)},
+      StoreSource);
   m_Listed.clear();
 }
 
 void ReplicaSink::changed(const adapter::DocumentChange &Change) {
   const std::string &Name = Change.Document.Name;
+  RemovedReplica Removed{.Id = ServerName(Name),
+                         .Revision = StoreRevision(Change.Document.Revision)};
   if (Change.IsRemoved)
-    return m_State.removeReplica(ServerName(Name));
+    return m_State.removeReplica(Removed);
   if (auto Read = adapter::decodeReplica(Name, Change.Document.Content))
-    return m_State.putReplica(std::move(*Read));
-  logUnreadable(Name);
-  m_State.removeReplica(ServerName(Name));
+    return m_State.putReplica(std::move(*Read), Removed.Revision);
+  logUnreadable(Change.Document);
+  m_State.removeReplica(Removed);
 }
 
 void ReplicaSink::followed(std::uint64_t Revision) {
-  m_State.setReplicaRevision(std::max(m_State.replicaRevision(), Revision));
+  m_State.advanceReplicas(StoreRevision(Revision));
 }
 
-void ReplicaSink::logUnreadable(const std::string &Name) {
+void ReplicaSink::logUnreadable(const adapter::StoredDocument &Document) {
+  if (m_Unreadable.size() >= MaxUnreadable)
+    m_Unreadable.clear();
+  auto [Found, IsNew] =
+      m_Unreadable.try_emplace(Document.Name, Document.Revision);
+  if (!IsNew && Found->second == Document.Revision)
+    return;
+  Found->second = Document.Revision;
+  m_State.onUnreadable(1);
   LogLine Line("replica_unreadable");
-  Line.add("replica", Name);
+  Line.add("replica", Document.Name);
+  Line.add("revision", Document.Revision);
   m_Log.write(Line);
 }
 
--- a/packages/gateway/src/gateway/control/ReplicaSink.h
+++ b/packages/gateway/src/gateway/control/ReplicaSink.h
@@ -5,6 +5,7 @@
 #include "gateway/log/EventLog.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -25,12 +26,15 @@
   void confirm(TimePoint At) { m_State.confirmReplicas(At); }
 
 private:
-  void logUnreadable(const std::string &Name);
+  /// @brief Logs an entry that names no replica, once for each of its changes.
+  void logUnreadable(const adapter::StoredDocument &Document);
 
   FleetState &m_State;
   EventLog &m_Log;
-  /// Records collected from the pages of the list in progress.
-  std::vector<ReplicaRecord> m_Listed;
+  /// Entries collected from the pages of the list in progress.
+  std::vector<KnownReplica> m_Listed;
+  /// The logged entries by name, with the revision of their last change.
+  std::map<std::string, std::uint64_t> m_Unreadable;
 };
 
 } // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/control/StoreFollower.cpp
+++ b/packages/gateway/src/gateway/control/StoreFollower.cpp
@@ -65,6 +65,7 @@
       co_return false;
     }
     onAnswered();
+    m_State.onUnnamed(kind(), Page.value().Unreadable);
     const auto &Documents = Page.value().Documents;
     for (const adapter::StoredDocument &Each : Documents)
       std::visit([&](auto &Into) { Into.listed(Each); }, m_Sink);
@@ -93,6 +94,7 @@
     co_return false;
   }
   onAnswered();
+  m_State.onUnnamed(kind(), Changes.value().Unreadable);
   for (const adapter::DocumentChange &Each : Changes.value().Changes)
     std::visit([&](auto &Into) { Into.changed(Each); }, m_Sink);
   m_Cursor.onAnswer(Changes.value().Changes.size(), Changes.value().Revision);
--- a/packages/gateway/src/gateway/peers/Changes.cpp
+++ b/packages/gateway/src/gateway/peers/Changes.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/model/JsonReader.h"
 #include "coordination/model/JsonText.h"
+#include "gateway/peers/ContactCodec.h"
 #include "gateway/peers/Heartbeat.h"
 #include "gateway/peers/PeerState.h"
 
@@ -14,7 +15,6 @@
 namespace {
 
 constexpr std::uint64_t MaxWaitMillis = 60'000;
-constexpr std::uint64_t MaxAgeMillis = std::uint64_t{1} << 52;
 
 std::uint64_t numberOf(const http::Request &Asked, std::string_view Name) {
   std::string Text = Asked.queryParameter(Name).value_or("");
@@ -23,10 +23,41 @@
   return Value;
 }
 
-Milliseconds readAge(JsonReader &Reader, std::string_view Key) {
-  // VMs of earlier versions do not send the field.
-  std::uint64_t Millis = Reader.integerOr(Key, 0, MaxAgeMillis, 0);
-  return Milliseconds(static_cast<std::int64_t>(Millis));
+json encodeReplicas(const ReplicaRegistry::Entries &Replicas) {
+  json Items = json::array();
+  for (const auto &[Id, Each] : Replicas)
+    Items.push_back(encodeReplica(Each));
+  return Items;
+}
+
+void addChanges(json &Body,
+                const std::vector<ReplicaChanges::Change> &Changes) {
+  Body["put"] = json::array();
+  Body["gone"] = json::array();
+  for (const ReplicaChanges::Change &Each : Changes) {
+    if (Each.Replica)
+      Body["put"].push_back(encodeReplica(*Each.Replica));
+    else
+      Body["gone"].push_back(
+          {{"id", Each.Id.value()}, {"rev", Each.RemovedAsOf.value()}});
+  }
+}
+
+RemovedReplica decodeRemoved(JsonReader &Parent, const json &Item) {
+  JsonReader Reader(Item, Parent.pathOf("gone"));
+  RemovedReplica Removed{
+      .Id = ServerName(Reader.string("id")),
+      .Revision = StoreRevision(Reader.integer("rev", 0, UINT64_MAX))};
+  Parent.adopt(Reader);
+  return Removed;
+}
+
+ReplicaDelta decodeDelta(JsonReader &Reader, StoreRevision AsOf) {
+  ReplicaDelta Delta{.Base = {}, .AsOf = AsOf, .Put = {}, .Removed = {}};
+  Delta.Put = decodeReplicas(Reader, "put");
+  for (const json &Each : Reader.array("gone"))
+    Delta.Removed.push_back(decodeRemoved(Reader, Each));
+  return Delta;
 }
 
 } // namespace
@@ -59,33 +90,26 @@
   json Body;
   Body["life"] = IncarnationNumber.value();
   Body["sequence"] = State.replicaChanges().sequence();
-  Body["revision"] = State.replicaRevision();
+  Body["revision"] = State.replicaRevision().value();
   Body["reads"] = Self.ReadsStore;
   Body["has_replicas"] = State.hasReplicas();
   Body["replica_age_ms"] = State.replicaAge().count();
   Body["config_age_ms"] = State.configAge().count();
+  addContact(Body, State.storeContact());
   if (State.configVersion() > Asked.ConfigVersion)
     Body["config"] = State.configDocument();
-  Body["put"] = json::array();
-  Body["gone"] = json::array();
   auto Changes = Asked.Sequence == 0
                      ? std::nullopt
                      : State.replicaChanges().since(Asked.Sequence);
   Body["whole"] = !Changes.has_value();
+  if (Changes)
+    addChanges(Body, *Changes);
+  else
+    Body["put"] = encodeReplicas(State.replicas().entries());
   Body["vms"] = json::array();
   for (const LoadedVm &Each :
        State.vms().far(Self.Record.Centre, monotonicNow()))
     Body["vms"].push_back(encodeLoadedVm(Each));
-  if (!Changes)
-    for (const auto &[Id, Each] : State.replicas().entries())
-      Body["put"].push_back(encodeReplica(Each));
-  else
-    for (const auto &Each : *Changes) {
-      if (Each.Record)
-        Body["put"].push_back(encodeReplica(*Each.Record));
-      else
-        Body["gone"].push_back(Each.Id.value());
-    }
   return Body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -95,23 +119,17 @@
   ChangesResponse Read;
   Read.IncarnationNumber = Incarnation(Reader.integer("life", 0, UINT64_MAX));
   Read.Sequence = Reader.integer("sequence", 0, UINT64_MAX);
-  Read.ReplicaRevision = Reader.integer("revision", 0, UINT64_MAX);
   Read.ReadsStore = Reader.booleanOr("reads", false);
   Read.HasReplicas = Reader.booleanOr("has_replicas", false);
-  Read.IsWhole = Reader.booleanOr("whole", false);
   Read.ReplicaAge = readAge(Reader, "replica_age_ms");
   Read.ConfigAge = readAge(Reader, "config_age_ms");
-  for (const json &Each : Reader.array("put")) {
-    auto Replica = decodeReplica(Each);
-    if (!Replica)
-      return std::nullopt;
-    Read.Put.push_back(std::move(*Replica));
-  }
-  for (const json &Each : Reader.array("gone")) {
-    if (!Each.is_string())
-      return std::nullopt;
-    Read.Gone.emplace_back(Each.get<std::string>());
-  }
+  Read.Contact = readContact(Reader);
+  StoreRevision AsOf(Reader.integer("revision", 0, UINT64_MAX));
+  if (Reader.booleanOr("whole", false))
+    Read.Replicas =
+        ReplicaList{.AsOf = AsOf, .Replicas = decodeReplicas(Reader, "put")};
+  else
+    Read.Replicas = decodeDelta(Reader, AsOf);
   for (const json &Each : Reader.array("vms")) {
     auto Vm = decodeLoadedVm(Each);
     if (!Vm)
--- a/packages/gateway/src/gateway/peers/Changes.h
+++ b/packages/gateway/src/gateway/peers/Changes.h
@@ -11,12 +11,13 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace carawaypond::gateway {
 
 /// Path under which a VM serves its changes to VMs that follow it.
-constexpr const char *ChangesPath = "/v1/changes";
+constexpr const char *ChangesPath = "/v2/changes";
 
 /// @brief Long-poll request for changes: what the sender already has from the
 /// VM that it follows.
@@ -31,17 +32,17 @@
 struct ChangesResponse {
   Incarnation IncarnationNumber;
   std::uint64_t Sequence = 0;
-  std::uint64_t ReplicaRevision = 0;
   bool ReadsStore = false;  ///< Whether the store answers the sender.
   bool HasReplicas = false; ///< Whether the sender ever read the replica list.
-  bool IsWhole = false;     ///< Whether Put lists all replicas.
   /// Time since the sender's replica list was last known to match the store.
   Milliseconds ReplicaAge{0};
   /// Time since its configuration was last known to match the store.
   Milliseconds ConfigAge{0};
+  /// When the store answered any VM, as far as the sender knows.
+  std::optional<ContactAge> Contact;
   nlohmann::json Config; ///< Null if there is no newer one.
-  std::vector<ReplicaRecord> Put;
-  std::vector<ServerName> Gone;
+  /// All replicas, or those that changed. Base of a delta is not sent.
+  std::variant<ReplicaList, ReplicaDelta> Replicas;
   std::vector<LoadedVm> RemoteVms; ///< VMs in other data centres.
 };
 
--- /dev/null
+++ b/packages/gateway/src/gateway/peers/ContactCodec.cpp
@@ -0,0 +1,39 @@
+#include "gateway/peers/ContactCodec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace carawaypond::gateway {
+
+namespace {
+
+/// Ages above 35 years are no ages, and would overflow a TimePoint.
+constexpr std::uint64_t MaxAgeMillis = std::uint64_t{1} << 40;
+constexpr const char *SinceKey = "store_since_ms";
+constexpr const char *UntilKey = "store_until_ms";
+
+} // namespace
+
+Milliseconds readAge(JsonReader &Reader, std::string_view Key) {
+  std::uint64_t Millis = Reader.integerOr(Key, 0, MaxAgeMillis, 0);
+  return Milliseconds(static_cast<std::int64_t>(Millis));
+}
+
+void addContact(nlohmann::json &Body,
+                const std::optional<ContactAge> &Contact) {
+  if (!Contact)
+    return;
+  Body[SinceKey] = Contact->Since.count();
+  Body[UntilKey] = Contact->Until.count();
+}
+
+std::optional<ContactAge> readContact(JsonReader &Reader) {
+  if (!Reader.has(SinceKey) || !Reader.has(UntilKey))
+    return std::nullopt;
+  ContactAge Contact{.Since = readAge(Reader, SinceKey),
+                     .Until = readAge(Reader, UntilKey)};
+  if (Contact.Since < Contact.Until)
+    Reader.fail(SinceKey, "must not be less than the last answer's age");
+  return Contact;
+}
+
+} // namespace carawaypond::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway/peers/ContactCodec.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "coordination/model/JsonReader.h"
+#include "core/time/Time.h"
+#include "gateway/control/ContactAge.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <optional>
+#include <string_view>
+
+namespace carawaypond::gateway {
+
+/// @brief Reads an age in milliseconds; 0 if the field is missing.
+[[nodiscard]] Milliseconds readAge(JsonReader &Reader, std::string_view Key);
+
+/// @brief Adds the fields that tell when the store answered any VM.
+void addContact(nlohmann::json &Body, const std::optional<ContactAge> &Contact);
+/// @return std::nullopt if the fields are missing.
+[[nodiscard]] std::optional<ContactAge> readContact(JsonReader &Reader);
+
+} // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/peers/Heartbeat.cpp
+++ b/packages/gateway/src/gateway/peers/Heartbeat.cpp
@@ -1,5 +1,7 @@
 #include "gateway/peers/Heartbeat.h"
 
+#include "gateway/peers/ContactCodec.h"
+
 #include "coordination/model/JsonReader.h"
 #include "coordination/model/JsonText.h"
 
@@ -83,7 +85,10 @@
 std::string encodeHeartbeat(const Heartbeat &Sent) {
   json Item = encodeLoadedVm(Sent.Vm);
   Item["config"] = Sent.ConfigVersion;
-  Item["replicas"] = Sent.ReplicaRevision;
+  Item["replicas"] = Sent.ReplicaRevision.value();
+  if (Sent.Presumed > 0)
+    Item["presumed"] = Sent.Presumed;
+  addContact(Item, Sent.Contact);
   return Item.dump();
 }
 
@@ -95,7 +100,10 @@
   JsonReader Reader(Item, "");
   Heartbeat Read{.Vm = std::move(*Vm),
                  .ConfigVersion = Reader.integer("config", 0, UINT64_MAX),
-                 .ReplicaRevision = Reader.integer("replicas", 0, UINT64_MAX)};
+                 .ReplicaRevision =
+                     StoreRevision(Reader.integer("replicas", 0, UINT64_MAX)),
+                 .Presumed = Reader.integerOr("presumed", 0, UINT32_MAX, 0),
+                 .Contact = readContact(Reader)};
   if (Reader.error())
     return std::nullopt;
   return Read;
--- a/packages/gateway/src/gateway/peers/Heartbeat.h
+++ b/packages/gateway/src/gateway/peers/Heartbeat.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "coordination/fleet/VmLoad.h"
+#include "core/id/Ids.h"
+#include "gateway/control/ContactAge.h"
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -14,8 +17,12 @@
 /// @brief Periodic message with which a VM announces itself to other VMs.
 struct Heartbeat {
   LoadedVm Vm;
-  std::uint64_t ConfigVersion = 0;   ///< Configuration in force on the sender.
-  std::uint64_t ReplicaRevision = 0; ///< Store revision of its replica list.
+  std::uint64_t ConfigVersion = 0; ///< Configuration in force on the sender.
+  StoreRevision ReplicaRevision;   ///< Store revision of its replica list.
+  /// Number of replicas that the sender only presumes to live.
+  std::size_t Presumed = 0;
+  /// When the store answered any VM, as far as the sender knows.
+  std::optional<ContactAge> Contact;
 };
 
 [[nodiscard]] std::string encodeHeartbeat(const Heartbeat &Sent);
--- a/packages/gateway/src/gateway/peers/HeartbeatExchange.cpp
+++ b/packages/gateway/src/gateway/peers/HeartbeatExchange.cpp
@@ -79,6 +79,8 @@
   auto Read = decodeHeartbeat(std::string_view(m_Buffer.data(), Bytes));
   if (!Read)
     return;
+  if (Read->Contact)
+    m_State.onStoreContact(*Read->Contact);
   bool IsNew = m_State.onHeartbeat(Read->Vm);
   if (IsNew)
     sendTo(Read->Vm.Record.PeerAddress);
--- a/packages/gateway/src/gateway/peers/PeerFetcher.cpp
+++ b/packages/gateway/src/gateway/peers/PeerFetcher.cpp
@@ -23,6 +23,8 @@
 /// How long another VM may have a newer configuration before this VM fetches it
 /// from there instead of waiting for the store.
 constexpr Milliseconds MaxConfigLag{600};
+/// Shortest interval between two fetches for the sake of presumed replicas.
+constexpr Milliseconds PresumedInterval{1'000};
 constexpr unsigned Ok = 200;
 
 } // namespace
@@ -56,10 +58,17 @@
   }
 }
 
+bool PeerFetcher::presumesMore(const Heartbeat &Heard, TimePoint Now) const {
+  const ReplicaRegistry &Replicas = m_State.replicas();
+  return Heard.Presumed > Replicas.presumed() && Replicas.isRecovering(Now) &&
+         Now - m_PresumedFetchedAt > PresumedInterval;
+}
+
 void PeerFetcher::onHeartbeat(const Heartbeat &Heard) {
+  TimePoint Now = monotonicNow();
   bool HasNewerConfig = Heard.ConfigVersion > m_State.configVersion();
   bool HasNewerReplicas = Heard.ReplicaRevision > m_State.replicaRevision();
-  TimePoint Now = monotonicNow();
+  bool PresumesMore = presumesMore(Heard, Now);
   if (!HasNewerConfig)
     m_ConfigBehindSince.reset();
   else if (!m_ConfigBehindSince)
@@ -68,8 +77,10 @@
       m_ConfigBehindSince && Now - *m_ConfigBehindSince >= MaxConfigLag;
   bool IsCutOff =
       m_State.age() > m_MaxAge && (HasNewerConfig || HasNewerReplicas);
-  if (m_IsFetching || !(IsBehind || IsCutOff))
+  if (m_IsFetching || !(IsBehind || IsCutOff || PresumesMore))
     return;
+  if (PresumesMore)
+    m_PresumedFetchedAt = Now;
   boost::asio::co_spawn(m_Context, fetch(Heard.Vm.Record.PeerAddress),
                         boost::asio::detached);
 }
@@ -103,11 +114,12 @@
   for (const VmRecord &Each : State->Vms)
     m_State.onVmRecord(Each);
   if (!State->Config.is_null())
-    m_State.applyConfig(State->Config, "peer");
-  bool IsNewer = State->ReplicaRevision > m_State.replicaRevision();
-  if (IsNewer && (m_State.age() > m_MaxAge || !m_State.isReady()))
-    m_State.replaceReplicas(std::move(State->Replicas), State->ReplicaRevision,
-                            "peer");
+    m_State.applyConfig(State->Config, PeerSource);
+  if (State->Contact)
+    m_State.onStoreContact(*State->Contact);
+  // A VM that never read the list has the revision 0.
+  if (State->Replicas.AsOf > StoreRevision(0))
+    m_State.mergeReplicas(State->Replicas, PeerSource);
   m_State.publish();
 }
 
--- a/packages/gateway/src/gateway/peers/PeerFetcher.h
+++ b/packages/gateway/src/gateway/peers/PeerFetcher.h
@@ -15,12 +15,12 @@
 /// @brief Fetches state from other VMs while the store is unreachable.
 ///
 /// Covers outages and partitions of the store: a VM that starts without the
-/// store, or whose peer sends a heartbeat with newer versions, fetches the
-/// peer's state.
+/// store, or whose peer sends a heartbeat with newer versions or presumes more
+/// replicas to live, fetches the peer's state.
 class PeerFetcher {
 public:
   /// Path under which VMs serve their state to each other.
-  static constexpr const char *Path = "/v1/state";
+  static constexpr const char *Path = "/v2/state";
 
   /// @param MaxAge Maximum age of this VM's data before it fetches from others.
   /// @param Seeds Peer addresses to try before any VM is known.
@@ -35,6 +35,9 @@
 
 private:
   [[nodiscard]] std::vector<std::string> addresses() const;
+  /// @return Whether the sender may know replicas that are missing here because
+  /// of an outage of the store.
+  [[nodiscard]] bool presumesMore(const Heartbeat &Heard, TimePoint Now) const;
   boost::asio::awaitable<void> fetch(std::string Address);
 
   boost::asio::io_context &m_Context;
@@ -44,6 +47,7 @@
   std::string m_OwnAddress;
   std::vector<std::string> m_Seeds;
   bool m_IsFetching = false;
+  TimePoint m_PresumedFetchedAt = TimePoint::min();
   /// Since when another VM has had a newer configuration.
   std::optional<TimePoint> m_ConfigBehindSince;
 };
--- a/packages/gateway/src/gateway/peers/PeerState.cpp
+++ b/packages/gateway/src/gateway/peers/PeerState.cpp
@@ -1,7 +1,7 @@
 #include "gateway/peers/PeerState.h"
 
-#include "coordination/model/JsonReader.h"
 #include "coordination/model/JsonText.h"
+#include "gateway/peers/ContactCodec.h"
 #include "gateway/peers/Heartbeat.h"
 
 namespace carawaypond::gateway {
@@ -13,44 +13,61 @@
 constexpr std::uint64_t MaxSlots = 1'000'000;
 constexpr std::uint64_t MaxWarmupMs = 3'600'000;
 
+KnownReplica decodeReplica(JsonReader &Reader) {
+  KnownReplica Replica;
+  ReplicaRecord &Record = Replica.Record;
+  Record.Id = ServerName(Reader.string("id"));
+  Record.Service = ServiceName(Reader.string("service"));
+  Record.Address = Reader.string("address");
+  Record.Centre = DataCentre(Reader.string("centre"));
+  Record.Slots = static_cast<unsigned>(Reader.integer("slots", 1, MaxSlots));
+  Record.State = Reader.booleanOr("leaving", false) ? ReplicaState::Leaving
+                                                    : ReplicaState::Serving;
+  Record.WarmupLeft = Milliseconds(
+      static_cast<std::int64_t>(Reader.integer("warmup_ms", 0, MaxWarmupMs)));
+  Record.StartedAt =
+      static_cast<std::int64_t>(Reader.integer("started_ms", 0, INT64_MAX));
+  Replica.Revision = StoreRevision(Reader.integer("rev", 0, UINT64_MAX));
+  if (Reader.booleanOr("presumed", false))
+    Replica.Evidence = ReplicaEvidence::Presumed;
+  return Replica;
+}
+
 } // namespace
 
-json encodeReplica(const ReplicaRecord &Replica) {
+json encodeReplica(const KnownReplica &Replica) {
+  const ReplicaRecord &Record = Replica.Record;
   json Item;
-  Item["id"] = Replica.Id.value();
-  Item["service"] = Replica.Service.value();
-  Item["address"] = Replica.Address;
-  Item["centre"] = Replica.Centre.value();
-  Item["slots"] = Replica.Slots;
-  Item["leaving"] = Replica.State == ReplicaState::Leaving;
-  Item["warmup_ms"] = Replica.WarmupLeft.count();
-  Item["started_ms"] = Replica.StartedAt;
+  Item["id"] = Record.Id.value();
+  Item["service"] = Record.Service.value();
+  Item["address"] = Record.Address;
+  Item["centre"] = Record.Centre.value();
+  Item["slots"] = Record.Slots;
+  Item["leaving"] = Record.State == ReplicaState::Leaving;
+  Item["warmup_ms"] = Record.WarmupLeft.count();
+  Item["started_ms"] = Record.StartedAt;
+  Item["rev"] = Replica.Revision.value();
+  if (Replica.Evidence == ReplicaEvidence::Presumed)
+    Item["presumed"] = true;
   return Item;
 }
 
-std::optional<ReplicaRecord> decodeReplica(const json &Item) {
-  JsonReader Reader(Item, "");
-  ReplicaRecord Replica;
-  Replica.Id = ServerName(Reader.string("id"));
-  Replica.Service = ServiceName(Reader.string("service"));
-  Replica.Address = Reader.string("address");
-  Replica.Centre = DataCentre(Reader.string("centre"));
-  Replica.Slots = static_cast<unsigned>(Reader.integer("slots", 1, MaxSlots));
-  Replica.State = Reader.booleanOr("leaving", false) ? ReplicaState::Leaving
-                                                     : ReplicaState::Serving;
-  Replica.WarmupLeft = Milliseconds(
-      static_cast<std::int64_t>(Reader.integer("warmup_ms", 0, MaxWarmupMs)));
-  Replica.StartedAt =
-      static_cast<std::int64_t>(Reader.integer("started_ms", 0, INT64_MAX));
-  if (Reader.error())
-    return std::nullopt;
-  return Replica;
+std::vector<KnownReplica> decodeReplicas(JsonReader &Reader,
+                                         std::string_view Key) {
+  std::vector<KnownReplica> Replicas;
+  for (const json &Each : Reader.array(Key)) {
+    JsonReader Item(Each, Reader.pathOf(Key));
+    Replicas.push_back(decodeReplica(Item));
+    Reader.adopt(Item);
+  }
+  return Replicas;
 }
 
 std::string encodePeerState(const FleetState &State, const VmRecord &Self) {
   json Body;
   Body["config"] = State.configDocument();
-  Body["replica_revision"] = State.replicaRevision();
+  Body["replica_revision"] = State.replicaRevision().value();
+  addContact(Body, State.storeContact());
   Body["replicas"] = json::array();
   for (const auto &[Id, Each] : State.replicas().entries())
     Body["replicas"].push_back(encodeReplica(Each));
@@ -65,13 +82,10 @@
   json Body = parseJsonText(Text);
   JsonReader Reader(Body, "");
   PeerState State;
-  State.ReplicaRevision = Reader.integer("replica_revision", 0, UINT64_MAX);
-  for (const json &Each : Reader.array("replicas")) {
-    auto Replica = decodeReplica(Each);
-    if (!Replica)
-      return std::nullopt;
-    State.Replicas.push_back(std::move(*Replica));
-  }
+  State.Replicas.AsOf =
+      StoreRevision(Reader.integer("replica_revision", 0, UINT64_MAX));
+  State.Replicas.Replicas = decodeReplicas(Reader, "replicas");
+  State.Contact = readContact(Reader);
   for (const json &Each : Reader.array("vms")) {
     auto Vm = decodeVm(Each);
     if (!Vm)
--- a/packages/gateway/src/gateway/peers/PeerState.h
+++ b/packages/gateway/src/gateway/peers/PeerState.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "coordination/membership/VmRecord.h"
-#include "coordination/replicas/ReplicaRecord.h"
+#include "coordination/model/JsonReader.h"
+#include "coordination/replicas/ReplicaReport.h"
 #include "gateway/control/FleetState.h"
 
 #include <nlohmann/json.hpp>
@@ -16,15 +17,17 @@
 /// @brief State that a VM serves to VMs that cannot reach the store.
 struct PeerState {
   nlohmann::json Config; ///< Document as in the store; null if none is known.
-  std::vector<ReplicaRecord> Replicas;
-  std::uint64_t ReplicaRevision = 0;
+  ReplicaList Replicas;
+  /// When the store answered any VM, as far as the sender knows.
+  std::optional<ContactAge> Contact;
   std::vector<VmRecord> Vms;
 };
 
-[[nodiscard]] nlohmann::json encodeReplica(const ReplicaRecord &Replica);
-/// @return std::nullopt if fields are missing or of another type.
-[[nodiscard]] std::optional<ReplicaRecord>
-decodeReplica(const nlohmann::json &Item);
+[[nodiscard]] nlohmann::json encodeReplica(const KnownReplica &Replica);
+/// @brief Reads the replicas of the array @p Key. @p Reader fails if one lacks
+/// a field or has one of another type.
+[[nodiscard]] std::vector<KnownReplica> decodeReplicas(JsonReader &Reader,
+                                                       std::string_view Key);
 
 /// @param Self The record of the VM that answers.
 [[nodiscard]] std::string encodePeerState(const FleetState &State,
--- a/packages/gateway/test/gateway/peers/CodecTest.cpp
+++ b/packages/gateway/test/gateway/peers/CodecTest.cpp
@@ -22,7 +22,7 @@
   return Vm;
 }
 
-ReplicaRecord makeReplica(const char *Id) {
+KnownReplica makeReplica(const char *Id) {
   ReplicaRecord Replica;
   Replica.Id = ServerName(Id);
   Replica.Service = ServiceName("s");
@@ -30,19 +30,26 @@
   Replica.Centre = DataCentre("umea-b");
   Replica.Slots = 2;
   Replica.StartedAt = 5;
-  return Replica;
+  return {.Record = Replica, .Revision = StoreRevision(7)};
 }
 
 } // namespace
 
 TEST_CASE("a heartbeat round-trips; other input is rejected") {
-  Heartbeat Sent{.Vm = makeVm(), .ConfigVersion = 3, .ReplicaRevision = 9};
+  Heartbeat Sent{.Vm = makeVm(),
+                 .ConfigVersion = 3,
+                 .ReplicaRevision = StoreRevision(9),
+                 .Presumed = 4,
+                 .Contact = ContactAge{.Since = Milliseconds(9'000),
+                                       .Until = Milliseconds(30)}};
   auto Read = decodeHeartbeat(encodeHeartbeat(Sent));
   REQUIRE(Read);
   CHECK(Read->Vm.Record == Sent.Vm.Record);
   CHECK(Read->Vm.Load == Sent.Vm.Load);
   CHECK(Read->Vm.ReadsStore);
-  CHECK(Read->ReplicaRevision == 9);
+  CHECK(Read->ReplicaRevision == StoreRevision(9));
+  CHECK(Read->Presumed == 4);
+  CHECK(Read->Contact == Sent.Contact);
   std::string Text = encodeHeartbeat(Sent);
   for (std::size_t Size = 0; Size < Text.size(); ++Size)
     CHECK_FALSE(decodeHeartbeat(std::string_view(Text).substr(0, Size)));
@@ -57,28 +64,63 @@
   // A removal is applied at once only after the store has answered for a while.
   for (int Ago = 4'000; Ago >= 0; Ago -= 1'000)
     State.onStoreAnswered(monotonicNow() - Milliseconds(Ago));
-  State.replaceReplicas({makeReplica("a"), makeReplica("b")}, 10, StoreSource);
+  State.mergeReplicas({.AsOf = StoreRevision(10),
+                       .Replicas = {makeReplica("a"), makeReplica("b")}},
+                      StoreSource);
   State.publish();
   ChangesRequest Asked;
   auto Whole =
       decodeChanges(encodeChanges(Asked, State, Incarnation(1), makeVm()));
   REQUIRE(Whole);
-  CHECK(Whole->IsWhole);
-  CHECK(Whole->Put.size() == 2);
-  CHECK(Whole->ReplicaRevision == 10);
+  const auto *List = std::get_if<ReplicaList>(&Whole->Replicas);
+  REQUIRE(List);
+  CHECK(List->Replicas == std::vector{makeReplica("a"), makeReplica("b")});
+  CHECK(List->AsOf == StoreRevision(10));
+  REQUIRE(Whole->Contact);
+  CHECK(Whole->Contact->Since >= Milliseconds(4'000));
 
   Asked.Sequence = Whole->Sequence;
   CHECK_FALSE(hasChanges(Asked, State));
-  State.removeReplica(ServerName("a"));
+  State.removeReplica({.Id = ServerName("a"), .Revision = StoreRevision(11)});
   State.publish();
   CHECK(hasChanges(Asked, State));
   auto News =
       decodeChanges(encodeChanges(Asked, State, Incarnation(1), makeVm()));
   REQUIRE(News);
-  CHECK_FALSE(News->IsWhole);
-  CHECK(News->Put.empty());
-  REQUIRE(News->Gone.size() == 1);
-  CHECK(News->Gone.front() == ServerName("a"));
+  const auto *Delta = std::get_if<ReplicaDelta>(&News->Replicas);
+  REQUIRE(Delta);
+  CHECK(Delta->Put.empty());
+  REQUIRE(Delta->Removed.size() == 1);
+  CHECK(Delta->Removed.front() ==
+        RemovedReplica{.Id = ServerName("a"), .Revision = StoreRevision(11)});
+}
+
+TEST_CASE("a presumed replica is passed on as presumed, in changes and in the "
+          "whole state") {
+  EventLog Log({});
+  FleetState State(
+      VmName("vm1"), ReplicaRegistryOptions{}, Log, [] { return VmLoad{}; },
+      [](const std::shared_ptr<const TrafficView> &) {});
+  State.mergeReplicas(
+      {.AsOf = StoreRevision(10), .Replicas = {makeReplica("a")}}, StoreSource);
+  State.publish();
+  ChangesRequest Asked{.Sequence = State.replicaChanges().sequence()};
+  // No answer of the store precedes this list, so "a" may have expired.
+  State.mergeReplicas({.AsOf = StoreRevision(20), .Replicas = {}}, StoreSource);
+  State.publish();
+  CHECK(hasChanges(Asked, State));
+  KnownReplica Presumed = makeReplica("a");
+  Presumed.Evidence = ReplicaEvidence::Presumed;
+
+  auto News =
+      decodeChanges(encodeChanges(Asked, State, Incarnation(1), makeVm()));
+  REQUIRE(News);
+  const auto *Delta = std::get_if<ReplicaDelta>(&News->Replicas);
+  REQUIRE(Delta);
+  CHECK(Delta->Put == std::vector{Presumed});
+  auto Whole = decodePeerState(encodePeerState(State, makeVm().Record));
+  REQUIRE(Whole);
+  CHECK(Whole->Replicas.Replicas == std::vector{Presumed});
 }
 
 TEST_CASE("a request for changes round-trips") {
