Proofs of replica knowledge; an echo between VMs no longer hides an outage

Three state-machine proofs play four VMs, a store with outages and history, cuts, restarts, and messages that are delayed, reordered and repeated. Broken variants fail: what is presumed passes for known; removals are forgotten; a short list wins.

A report is now dated back by the longest usual transit; StoreContactTest plays the echo.

--- /dev/null
+++ b/packages/coordination/proof/ReplicaModel.cpp
@@ -0,0 +1,183 @@
+#include "ReplicaModel.h"
+
+#include <algorithm>
+
+namespace carawaypond::proof {
+
+namespace {
+
+constexpr std::size_t VmCount = 4;
+constexpr std::size_t FirstServers = 12;
+constexpr Milliseconds ReadInterval{600};
+constexpr Milliseconds MaxDelay{300};
+/// How soon a live server's entry is back after an outage.
+constexpr int MaxReturnMillis = 1'900;
+/// An entry expires after three heartbeats of the server.
+constexpr Milliseconds MinOutageToExpire{3'600};
+
+} // namespace
+
+ReplicaModel::ReplicaModel(std::uint32_t Seed)
+    : m_Random(Seed), m_Vms(VmCount) {
+  for (std::size_t I = 0; I < FirstServers; ++I)
+    addServer();
+  for (Vm &Each : m_Vms)
+    Each.FaultEnd = m_Now;
+}
+
+int ReplicaModel::draw(int Bound) {
+  return std::uniform_int_distribution<int>(0, Bound - 1)(m_Random);
+}
+
+bool ReplicaModel::isInTouch(const Vm &Of) const {
+  TimePoint Calm = m_Now - Stability;
+  return !isOut() && m_OutUntil <= Calm && Of.CutUntil <= Calm &&
+         Of.FaultEnd <= Calm;
+}
+
+void ReplicaModel::addServer() {
+  m_Servers.push_back(
+      {.Id = ServerName("i-" + std::to_string(m_Servers.size())),
+       .Revision = StoreRevision(++m_Revision),
+       .StoredSince = m_Now});
+}
+
+void ReplicaModel::removeServer() {
+  Server &Chosen = m_Servers[static_cast<std::size_t>(
+      draw(static_cast<int>(m_Servers.size())))];
+  if (!Chosen.IsAlive || !Chosen.IsStored)
+    return;
+  Chosen.IsAlive = false;
+  Chosen.IsStored = false;
+  Chosen.Revision = StoreRevision(++m_Revision);
+  Chosen.RemovedAt = m_Now;
+  Chosen.WasRemovedInCalm = m_OutUntil + Stability <= m_Now;
+}
+
+void ReplicaModel::beginOutage() {
+  Milliseconds Length(500 + draw(9'000));
+  m_OutUntil = m_Now + Length;
+  bool Expires = Length >= MinOutageToExpire;
+  for (Server &Each : m_Servers) {
+    if (!Expires || !Each.IsStored || chance(300))
+      continue;
+    Each.IsStored = false;
+    Each.Revision = StoreRevision(++m_Revision);
+    Each.ReturnsAt = m_OutUntil + Milliseconds(draw(MaxReturnMillis));
+  }
+}
+
+void ReplicaModel::writeEntries() {
+  for (Server &Each : m_Servers) {
+    if (!Each.IsAlive || Each.IsStored || m_Now < Each.ReturnsAt)
+      continue;
+    Each.IsStored = true;
+    Each.StoredSince = m_Now;
+    Each.Revision = StoreRevision(++m_Revision);
+  }
+}
+
+void ReplicaModel::injectFaults() {
+  if (!isOut() && chance(12))
+    addServer();
+  if (!isOut() && chance(20))
+    removeServer();
+  if (!isOut() && m_OutUntil + Milliseconds(2'000) < m_Now && chance(6))
+    beginOutage();
+  for (Vm &Each : m_Vms) {
+    if (chance(4)) {
+      Each.CutUntil = m_Now + Milliseconds(500 + draw(10'000));
+      if (chance(500))
+        Each.AloneUntil = Each.CutUntil;
+    }
+    if (chance(2))
+      Each = Vm{.FaultEnd = m_Now};
+  }
+}
+
+void ReplicaModel::readStore(Vm &By) {
+  By.NextRead = m_Now + ReadInterval;
+  if (isOut() || m_Now < By.CutUntil) {
+    By.Cursor = StoreRevision(0);
+    return;
+  }
+  By.Replicas.onStoreContact({.Since = m_Now, .Until = m_Now}, m_Now);
+  StoreRevision Now(m_Revision);
+  ReplicaList List{.AsOf = Now, .Replicas = {}};
+  for (const Server &Each : m_Servers) {
+    ReplicaRecord Record{.Id = Each.Id};
+    if (By.Cursor == StoreRevision(0) && Each.IsStored)
+      List.Replicas.push_back({.Record = Record, .Revision = Each.Revision});
+    else if (By.Cursor != StoreRevision(0) && Each.Revision > By.Cursor) {
+      if (Each.IsStored)
+        By.Replicas.put(Record, Each.Revision);
+      else
+        By.Replicas.remove({.Id = Each.Id, .Revision = Each.Revision}, m_Now);
+    }
+  }
+  if (By.Cursor == StoreRevision(0))
+    By.Replicas.merge(List, m_Now);
+  By.Replicas.advance(Now, m_Now);
+  By.Replicas.confirm(m_Now);
+  By.Cursor = Now;
+}
+
+void ReplicaModel::sendState(std::size_t From) {
+  const ReplicaRegistry &Known = m_Vms[From].Replicas;
+  Message Sent{.Due = m_Now + Milliseconds(draw(MaxDelay.count())),
+               .To = static_cast<std::size_t>(draw(VmCount)),
+               .List = {.AsOf = Known.asOf(), .Replicas = {}}};
+  for (const auto &[Id, Each] : Known.entries())
+    Sent.List.Replicas.push_back(Each);
+  if (auto Latest = Known.contact().latest())
+    Sent.Contact = ContactAge::of(*Latest, m_Now);
+  m_Messages.push_back(Sent);
+  if (chance(200))
+    m_Messages.push_back(Sent);
+}
+
+void ReplicaModel::deliver() {
+  std::vector<Message> Later;
+  for (Message &Each : m_Messages) {
+    if (m_Now < Each.Due) {
+      Later.push_back(std::move(Each));
+      continue;
+    }
+    if (m_Now < m_Vms[Each.To].AloneUntil)
+      continue;
+    ReplicaRegistry &To = m_Vms[Each.To].Replicas;
+    if (Each.Contact)
+      To.onStoreContact(Each.Contact->spanAt(m_Now), m_Now);
+    if (Each.List.AsOf > StoreRevision(0))
+      To.merge(Each.List, m_Now);
+  }
+  m_Messages = std::move(Later);
+}
+
+void ReplicaModel::noteDropped(Vm &Of) {
+  for (const Server &Each : m_Servers)
+    if (!Each.IsAlive && isInTouch(Of) && Of.Replicas.asOf() >= Each.Revision &&
+        !Of.Replicas.entries().contains(Each.Id))
+      Of.Dropped.insert(Each.Id);
+}
+
+void ReplicaModel::step(bool WithFaults) {
+  m_Now += Step;
+  if (WithFaults)
+    injectFaults();
+  if (!isOut())
+    writeEntries();
+  for (Vm &Each : m_Vms)
+    if (m_Now >= Each.NextRead)
+      readStore(Each);
+  for (std::size_t I = 0; I < m_Vms.size(); ++I)
+    if (m_Now >= m_Vms[I].AloneUntil && chance(200))
+      sendState(I);
+  deliver();
+  for (Vm &Each : m_Vms) {
+    Each.Replicas.expire(m_Now);
+    noteDropped(Each);
+  }
+}
+
+} // namespace carawaypond::proof
--- a/packages/coordination/src/coordination/internal/Mutant.h
+++ b/packages/coordination/src/coordination/internal/Mutant.h
@@ -22,6 +22,9 @@
   SkipReadBack,        ///< Guesses the result of a write in doubt.
   ForgetMajority,      ///< Stops serving during a store outage.
   ServeUnconfirmed,    ///< Serves with a configuration that may be old.
+  TrustPresumptions,   ///< Takes what another VM presumes for what it knows.
+  ForgetRemovals,      ///< Lets other VMs revive a replica that was removed.
+  ShortListWins,       ///< Drops at once what a list lacks after an outage.
 };
 
 #ifdef CARAWAYPOND_MUTANTS
--- a/packages/gateway/src/gateway/control/ContactAge.h
+++ b/packages/coordination/src/coordination/replicas/ContactAge.h
@@ -3,13 +3,19 @@
 #include "coordination/replicas/StoreContact.h"
 #include "core/time/Time.h"
 
+#include <algorithm>
 #include <chrono>
 
-namespace carawaypond::gateway {
+namespace carawaypond {
 
 /// @brief A ContactSpan as VMs tell it to each other: by age, since their
 /// clocks differ.
 struct ContactAge {
+  /// Longest time that a message between VMs usually takes. It is taken off
+  /// the last answer, so that VMs that repeat each other's reports do not make
+  /// an answer of the store look later and later.
+  static constexpr Milliseconds MaxTransit{500};
+
   Milliseconds Since{0}; ///< Time since the first answer of the period.
   Milliseconds Until{0}; ///< Time since the last one.
 
@@ -19,11 +25,14 @@
             .Until = duration_cast<Milliseconds>(Now - Span.Until)};
   }
 
+  /// @return The period, for a message that arrived at @p Now: not longer than
+  /// the sender meant, on either side.
   [[nodiscard]] ContactSpan spanAt(TimePoint Now) const {
-    return {.Since = Now - Since, .Until = Now - Until};
+    TimePoint First = Now - Since;
+    return {.Since = First, .Until = std::max(First, Now - Until - MaxTransit)};
   }
 
   friend bool operator==(const ContactAge &, const ContactAge &) = default;
 };
 
-} // namespace carawaypond::gateway
+} // namespace carawaypond
--- a/packages/coordination/src/coordination/replicas/ReplicaRegistry.cpp
+++ b/packages/coordination/src/coordination/replicas/ReplicaRegistry.cpp
@@ -1,5 +1,7 @@
 #include "coordination/replicas/ReplicaRegistry.h"
 
+#include "coordination/internal/Mutant.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -103,7 +105,8 @@
   auto Found = m_Entries.find(Removed.Id);
   if (Found != m_Entries.end() && Found->second.Revision > Removed.Revision)
     return false;
-  bool IsSettled = !isRecovering(Now);
+  bool IsSettled =
+      !isRecovering(Now) || internal::isMutant(internal::Mutant::ShortListWins);
   Removal &Known = m_Removals[Removed.Id];
   Known.Revision = std::max(Known.Revision, Removed.Revision);
   Known.IsSettled = Known.IsSettled || IsSettled;
@@ -128,7 +131,10 @@
   bool WasRemoved = Offered.Revision <= m_SettledAsOf ||
                     (Found != m_Removals.end() && Found->second.IsSettled &&
                      Offered.Revision <= Found->second.Revision);
-  if (WasRemoved || !isRecovering(Now)) {
+  bool IsRefused =
+      (WasRemoved && !internal::isMutant(internal::Mutant::ForgetRemovals)) ||
+      !isRecovering(Now);
+  if (IsRefused) {
     note(ReplicaTransition::Kind::Refused, Id, Offered.Revision);
     return false;
   }
@@ -152,7 +158,10 @@
   return Changed;
 }
 
-bool ReplicaRegistry::merge(const ReplicaList &List, TimePoint Now) {
+bool ReplicaRegistry::merge(ReplicaList List, TimePoint Now) {
+  if (internal::isMutant(internal::Mutant::TrustPresumptions))
+    for (KnownReplica &Each : List.Replicas)
+      Each.Evidence = ReplicaEvidence::Stored;
   bool IsCurrent = List.AsOf >= m_AsOf;
   bool Changed = IsCurrent && removeUnlisted(List, Now);
   for (const KnownReplica &Each : List.Replicas)
--- a/packages/coordination/src/coordination/replicas/ReplicaRegistry.h
+++ b/packages/coordination/src/coordination/replicas/ReplicaRegistry.h
@@ -69,7 +69,7 @@
   bool remove(const RemovedReplica &Removed, TimePoint Now);
   /// @brief Merges a list that this or another VM read.
   /// @return Whether anything that affects placement changed.
-  bool merge(const ReplicaList &List, TimePoint Now);
+  bool merge(ReplicaList List, TimePoint Now);
   /// @brief Merges another VM's changes.
   /// @return Whether anything that affects placement changed. If asOf() is
   /// less than that of @p Delta afterwards, the changes do not suffice and the
--- a/packages/coordination/src/coordination/replicas/fwd.h
+++ b/packages/coordination/src/coordination/replicas/fwd.h
@@ -4,6 +4,7 @@
 
 enum class ReplicaEvidence;
 enum class ReplicaState;
+struct ContactAge;
 struct ContactSpan;
 struct KnownReplica;
 struct RemovedReplica;
--- a/packages/coordination/test/coordination/replicas/StoreContactTest.cpp
+++ b/packages/coordination/test/coordination/replicas/StoreContactTest.cpp
@@ -1,5 +1,7 @@
 #include "coordination/replicas/StoreContact.h"
 
+#include "coordination/replicas/ContactAge.h"
+
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -61,3 +63,18 @@
     RC_ASSERT(First.latest() == Second.latest());
   }));
 }
+
+TEST_CASE("VMs that repeat each other's reports do not hide an outage") {
+  constexpr int Transit = 300;
+  StoreContact Left(MinOutage);
+  StoreContact Right(MinOutage);
+  Left.add(span(0, 0));
+  for (int Now = 0; Now < 10'000; Now += 2 * Transit) {
+    ContactAge ToRight = ContactAge::of(*Left.latest(), at(Now));
+    Right.add(ToRight.spanAt(at(Now + Transit)));
+    ContactAge ToLeft = ContactAge::of(*Right.latest(), at(Now + Transit));
+    Left.add(ToLeft.spanAt(at(Now + 2 * Transit)));
+  }
+  CHECK(Left.isOut(at(10'000)));
+  CHECK(Right.isOut(at(10'000)));
+}
--- a/packages/gateway/src/gateway/control/FleetState.h
+++ b/packages/gateway/src/gateway/control/FleetState.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "coordination/fleet/VmTracker.h"
+#include "coordination/replicas/ContactAge.h"
 #include "coordination/replicas/ReplicaRegistry.h"
 #include "coordination/routing/RoutingTable.h"
 #include "gateway/control/ChangeSignal.h"
-#include "gateway/control/ContactAge.h"
 #include "gateway/control/ReplicaChanges.h"
 #include "gateway/log/EventLog.h"
 #include "gateway/traffic/TrafficView.h"
--- a/packages/gateway/src/gateway/peers/ContactCodec.h
+++ b/packages/gateway/src/gateway/peers/ContactCodec.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "coordination/model/JsonReader.h"
+#include "coordination/replicas/ContactAge.h"
 #include "core/time/Time.h"
-#include "gateway/control/ContactAge.h"
 
 #include <nlohmann/json_fwd.hpp>
 
--- a/packages/gateway/src/gateway/peers/Heartbeat.h
+++ b/packages/gateway/src/gateway/peers/Heartbeat.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "coordination/fleet/VmLoad.h"
+#include "coordination/replicas/ContactAge.h"
 #include "core/id/Ids.h"
-#include "gateway/control/ContactAge.h"
 
 #include <nlohmann/json_fwd.hpp>
 
