LOST: another VM's list no longer ends a presumption that the store has not confirmed

What callers would see: after two outages in quick succession (the second begins about 2 s after the first has ended) all VMs dropped live servers whose entries were back, as none had read the store since. A list of another VM that lacked the entry counted as its removal once the grace period was over, though that list was older than the entry's return.

Removal and refusal now ask, like expiry, whether the list has been confirmed ReturnTime after the store's recovery. Test of the case in ReplicaRegistryTest; 20,000 cases of the proof hold, the three broken variants fail.

--- a/packages/coordination/src/coordination/replicas/ReplicaRegistry.cpp
+++ b/packages/coordination/src/coordination/replicas/ReplicaRegistry.cpp
@@ -106,7 +106,7 @@
   if (Found != m_Entries.end() && Found->second.Revision > Removed.Revision)
     return false;
   bool IsSettled =
-      !isRecovering(Now) || internal::isMutant(internal::Mutant::ShortListWins);
+      isSettled(Now) || internal::isMutant(internal::Mutant::ShortListWins);
   Removal &Known = m_Removals[Removed.Id];
   Known.Revision = std::max(Known.Revision, Removed.Revision);
   Known.IsSettled = Known.IsSettled || IsSettled;
@@ -133,7 +133,7 @@
                      Offered.Revision <= Found->second.Revision);
   bool IsRefused =
       (WasRemoved && !internal::isMutant(internal::Mutant::ForgetRemovals)) ||
-      !isRecovering(Now);
+      isSettled(Now);
   if (IsRefused) {
     note(ReplicaTransition::Kind::Refused, Id, Offered.Revision);
     return false;
--- a/packages/coordination/test/coordination/replicas/ReplicaRegistryTest.cpp
+++ b/packages/coordination/test/coordination/replicas/ReplicaRegistryTest.cpp
@@ -286,6 +286,21 @@
   CHECK(Book.takeTransitions().back().What == ReplicaTransition::Kind::Refused);
 }
 
+TEST_CASE("another VM's list does not end the use of a replica whose entry may "
+          "have come back since") {
+  // The store fails again 2.3 s after its recovery, before any VM has read it.
+  ReplicaRegistry Book = makeBook();
+  TimePoint Returned = Start + Milliseconds(6'000);
+  answer(Book, Returned);
+  Book.merge(ReplicaList{.AsOf = rev(50), .Replicas = {}}, Returned);
+  answer(Book, Returned + Milliseconds(1'200));
+  KnownReplica Presumed = Book.entries().at(Id);
+  TimePoint Now = Returned + Milliseconds(2'700);
+  Book.merge(ReplicaList{.AsOf = rev(50), .Replicas = {Presumed}}, Now);
+  Book.expire(Now);
+  CHECK(Book.entries().contains(Id));
+}
+
 TEST_CASE("an older list or change does not undo a newer one") {
   ReplicaRegistry Book = makeBook();
   REQUIRE(removeEntry(Book, Start));
--- a/packages/gateway/test/gateway/peers/CodecTest.cpp
+++ b/packages/gateway/test/gateway/peers/CodecTest.cpp
@@ -64,6 +64,7 @@
   // A removal is applied at once only after the store has answered for a while.
   for (int Ago = 4'000; Ago >= 0; Ago -= 1'000)
     State.onStoreAnswered(monotonicNow() - Milliseconds(Ago));
+  State.confirmReplicas(monotonicNow());
   State.mergeReplicas({.AsOf = StoreRevision(10),
                        .Replicas = {makeReplica("a"), makeReplica("b")}},
                       StoreSource);
