LOST: a follower no longer drops replicas that were presumed and are back

Cause: the change log between VMs sent every change of a replica since the follower's last: first presumed, then back. The follower applied the first as of the revision of the whole answer, so that the second was older.

Change: only a replica's last change is sent. The test in CodecTest failed before (2 changes, 1 allowed).

--- a/packages/gateway/src/gateway/control/ReplicaChanges.cpp
+++ b/packages/gateway/src/gateway/control/ReplicaChanges.cpp
@@ -1,5 +1,8 @@
 #include "gateway/control/ReplicaChanges.h"
 
+#include <algorithm>
+#include <set>
+
 namespace carawaypond::gateway {
 
 std::optional<std::vector<ReplicaChanges::Change>>
@@ -9,9 +12,12 @@
   if (Sequence < Oldest || Sequence > m_Sequence)
     return std::nullopt;
   std::vector<Change> Changes;
-  for (const Change &Each : m_Changelog)
-    if (Each.Sequence > Sequence)
-      Changes.push_back(Each);
+  std::set<ServerName> Included;
+  for (auto Each = m_Changelog.rbegin();
+       Each != m_Changelog.rend() && Each->Sequence > Sequence; ++Each)
+    if (Included.insert(Each->Id).second)
+      Changes.push_back(*Each);
+  std::reverse(Changes.begin(), Changes.end());
   return Changes;
 }
 
--- a/packages/gateway/src/gateway/control/ReplicaChanges.h
+++ b/packages/gateway/src/gateway/control/ReplicaChanges.h
@@ -25,8 +25,8 @@
 
   /// @return The sequence number of the latest change; 0 before the first.
   [[nodiscard]] std::uint64_t sequence() const { return m_Sequence; }
-  /// @return The changes after @p Sequence, or std::nullopt if the log no
-  /// longer holds all of them.
+  /// @return The last change of each replica that changed after @p Sequence, or
+  /// std::nullopt if the log no longer holds all of them.
   [[nodiscard]] std::optional<std::vector<Change>>
   since(std::uint64_t Sequence) const;
 
--- a/packages/gateway/test/gateway/peers/CodecTest.cpp
+++ b/packages/gateway/test/gateway/peers/CodecTest.cpp
@@ -124,6 +124,35 @@
   CHECK(Whole->Replicas.Replicas == std::vector{Presumed});
 }
 
+TEST_CASE("LOST: changes to a replica that was presumed and is back say only "
+          "that it is back") {
+  // Guards against a follower that applied the earlier change as of the later
+  // revision, and so dropped the replica.
+  EventLog Log({});
+  FleetState State(
+      VmName("vm1"), ReplicaRegistryOptions{}, Log, [] { return VmLoad{}; },
+      [](const std::shared_ptr<const TrafficView> &) {});
+  State.mergeReplicas(
+      {.AsOf = StoreRevision(10), .Replicas = {makeReplica("a")}}, StoreSource);
+  State.publish();
+  ChangesRequest Asked{.Sequence = State.replicaChanges().sequence()};
+  State.mergeReplicas({.AsOf = StoreRevision(20), .Replicas = {}}, StoreSource);
+  State.publish();
+  State.putReplica(makeReplica("a").Record, StoreRevision(25));
+  State.advanceReplicas(StoreRevision(30));
+  State.publish();
+
+  auto News =
+      decodeChanges(encodeChanges(Asked, State, Incarnation(1), makeVm()));
+  REQUIRE(News);
+  const auto *Delta = std::get_if<ReplicaDelta>(&News->Replicas);
+  REQUIRE(Delta);
+  CHECK(Delta->Removed.empty());
+  REQUIRE(Delta->Put.size() == 1);
+  CHECK(Delta->Put.front().Evidence == ReplicaEvidence::Stored);
+  CHECK(Delta->Put.front().Revision == StoreRevision(25));
+}
+
 TEST_CASE("a request for changes round-trips") {
   ChangesRequest Asked{.IncarnationNumber = Incarnation(4),
                        .Sequence = 5,
