LOST: a VM that starts after an outage fetches what others presume to live

What callers would see: 503 no_replica from a VM that has just started, until the replicas' entries are back. Cause: the time of the last fetch began at the least time point, and the difference to it overflowed, so that no such fetch was made. PresumedReplicaTest failed before (not served in 20 s) and holds now.

--- a/packages/gateway/src/gateway/peers/PeerFetcher.cpp
+++ b/packages/gateway/src/gateway/peers/PeerFetcher.cpp
@@ -60,8 +60,10 @@
 
 bool PeerFetcher::presumesMore(const Heartbeat &Heard, TimePoint Now) const {
   const ReplicaRegistry &Replicas = m_State.replicas();
-  return Heard.Presumed > Replicas.presumed() && Replicas.isRecovering(Now) &&
-         Now - m_PresumedFetchedAt > PresumedInterval;
+  bool IsDue =
+      !m_PresumedFetchedAt || Now - *m_PresumedFetchedAt > PresumedInterval;
+  return IsDue && Heard.Presumed > Replicas.presumed() &&
+         Replicas.isRecovering(Now);
 }
 
 void PeerFetcher::onHeartbeat(const Heartbeat &Heard) {
--- a/packages/gateway/src/gateway/peers/PeerFetcher.h
+++ b/packages/gateway/src/gateway/peers/PeerFetcher.h
@@ -47,7 +47,8 @@
   std::string m_OwnAddress;
   std::vector<std::string> m_Seeds;
   bool m_IsFetching = false;
-  TimePoint m_PresumedFetchedAt = TimePoint::min();
+  /// When presumed replicas were last fetched from another VM.
+  std::optional<TimePoint> m_PresumedFetchedAt;
   /// Since when another VM has had a newer configuration.
   std::optional<TimePoint> m_ConfigBehindSince;
 };
