--- a/packages/coordination/src/coordination/replicas/StoreContact.cpp
+++ b/packages/coordination/src/coordination/replicas/StoreContact.cpp
@@ -15,13 +15,13 @@
 }
 
 void StoreContact::add(ContactSpan Span) {
-  auto isApart = [&](const ContactSpan &Each) {
+  auto IsApart = [&](const ContactSpan &Each) {
     return Each.Until + m_MinOutage < Span.Since ||
            Span.Until + m_MinOutage < Each.Since;
   };
   std::vector<ContactSpan> Kept;
   for (const ContactSpan &Each : m_Spans) {
-    if (isApart(Each)) {
+    if (IsApart(Each)) {
       Kept.push_back(Each);
       continue;
     }
--- a/packages/coordination/test/coordination/replicas/StoreContactTest.cpp
+++ b/packages/coordination/test/coordination/replicas/StoreContactTest.cpp
@@ -47,6 +47,7 @@
     auto Starts =
         *rc::gen::container<std::vector<int>>(7, rc::gen::inRange(0, 30'000));
     std::vector<ContactSpan> Reports;
+    Reports.reserve(Starts.size());
     for (int Each : Starts)
       Reports.push_back(span(Each, Each + *rc::gen::inRange(0, 4'000)));
     StoreContact First(MinOutage);
