--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,6 @@
-"""Replicas of a service reject part of their requests (503, X-Not-Executed) and
-send a few of their answers a second time, late, on the same connection."""
+"""Replicas of a service reject part of their requests (503, X-Not-Executed). One
+of the two sends a few of its answers a second time, late, on the same
+connection."""
 
 import asyncio
 import os
@@ -11,11 +12,13 @@
 sys.path.insert(0, os.path.join(HERE, "..", "standins"))
 import harness as h
 
-REQUESTS = 2400
-INTERVAL_S = 0.025  # between requests
+REQUESTS = 2200
+INTERVAL_S = 0.04  # between requests
 WORK_S = 0.004
-SHED_SHARE = 0.2  # of the requests
-MAX_EXTRA_SHARE = 0.03  # of the answers of a replica
+SHED_SHARE = 0.25  # of the requests
+MAX_EXTRA_SHARE = 0.04  # of the answers of the faulty replica
+FAULT_S = 5.0  # length of one fault
+PAUSE_S = 1.0  # between two faults
 
 
 class Ledger(h.Replica):
@@ -23,16 +26,22 @@
     MAX_EXTRA_SHARE of its answers twice: the second copy comes when the next
     answer is expected on the connection, before that answer."""
 
-    def __init__(self, *arguments):
-        super().__init__(*arguments)
+    def __init__(self, instance, service, store, record, is_faulty):
+        super().__init__(instance, service, store, record)
+        self.is_faulty = is_faulty
         self.random = random.Random(self.instance)
         self.answers = 0
+        self.faulty_answers = 0  # during faults
         self.extras = 0
         self.pending = {}  # connection -> (answer, request id)
 
+    def has_fault(self):
+        phase = (time.monotonic() - self.record.started) % (FAULT_S + PAUSE_S)
+        return h.TROUBLE and self.is_faulty and phase < FAULT_S
+
     def may_send_twice(self):
-        return (h.TROUBLE and
-                self.extras + 1 <= MAX_EXTRA_SHARE * self.answers)
+        return (self.has_fault() and
+                self.extras + 1 <= MAX_EXTRA_SHARE * self.faulty_answers)
 
     async def handle(self, asked, reader, writer, connection):
         request_id = asked.get("X-Request-Id")
@@ -44,6 +53,7 @@
             writer.write(text)
             await writer.drain()
         self.answers += 1
+        self.faulty_answers += self.has_fault()
         if self.random.random() < SHED_SHARE:
             text = h.answer_text(503, [("X-Request-Id", request_id),
                                        ("X-Not-Executed", "1")])
@@ -65,7 +75,8 @@
 async def case(site):
     await site.start_store()
     replicas = [await site.add_replica(
-        Ledger(f"i-pay{n}", "pay", site.store, site.record)) for n in range(2)]
+        Ledger(f"i-pay{n}", "pay", site.store, site.record, is_faulty=n == 0))
+        for n in range(2)]
     site.configure([h.route("r-pay", "/pay/", kind="unsafe", timeout_ms=6000,
                             Service="pay")])
     await site.add_vms(1)
@@ -85,7 +96,8 @@
     runs = [each for replica in replicas for each in replica.runs]
     for each in replicas:
         site.record(f"{each.instance}: {each.answers} answers, "
-                    f"{each.extras} of them sent twice")
+                    f"{each.faulty_answers} of them during faults, "
+                    f"{each.extras} of these sent twice")
     if h.TROUBLE and not any(each.extras for each in replicas):
         raise h.CannotRun("no answer was sent twice")
     counts = {}
