--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,7 +12,7 @@
 sys.path.insert(0, os.path.join(HERE, "..", "standins"))
 import harness as h
 
-REQUESTS = 2200
+REQUESTS = 2000
 INTERVAL_S = 0.04  # between requests
 WORK_S = 0.004
 SHED_SHARE = 0.25  # of the requests
