The request log names the connection of each attempt

Change: connections have a number within the pool of their replica, and `notable` gives it. Nothing acts on it.

--- a/packages/core/src/core/id/Ids.h
+++ b/packages/core/src/core/id/Ids.h
@@ -31,6 +31,8 @@
 using SubmissionId = StrongId<struct SubmissionIdTag, std::string>;
 /// @brief One query within its coordinator's incarnation.
 using QueryId = StrongId<struct QueryIdTag, std::uint64_t>;
+/// @brief One connection within the pool of its backend server.
+using ConnectionNumber = StrongId<struct ConnectionNumberTag, std::uint64_t>;
 /// @brief One attempt at one shard; unique within a VM's incarnation.
 using SubrequestId = StrongId<struct SubrequestIdTag, std::uint64_t>;
 
--- a/packages/gateway/src/gateway/pool/Exchange.h
+++ b/packages/gateway/src/gateway/pool/Exchange.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "adapter/ReplicaReply.h"
-#include "core/time/Time.h"
+#include "core/id/Ids.h"
 
 #include <functional>
 #include <string>
@@ -28,9 +28,9 @@
   /// Asked just before the first byte is sent, and while the request waits:
   /// what was true when it began to wait for a connection may have changed.
   std::function<bool()> MaySend = [] { return true; };
-  /// Called just before the first byte is sent.
+  /// Called just before the first byte is sent, with the connection's number.
   /// @return The serialised request.
-  std::function<std::string()> Compose;
+  std::function<std::string(ConnectionNumber)> Compose;
   std::string RequestId; ///< Request id that the answer must carry.
   bool IsHead = false;
   bool IsIdempotent = false;
--- a/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
@@ -37,11 +37,13 @@
 } // namespace
 
 ReplicaConnection::ReplicaConnection(boost::asio::io_context &Context,
+                                     ConnectionNumber Number,
                                      tcp::endpoint Remote,
                                      const PoolOptions &Options,
                                      std::shared_ptr<ReplyMemory> Memory)
-    : m_Socket(Context), m_ConnectTimer(Context), m_Remote(std::move(Remote)),
-      m_Options(Options), m_Buffer(BuffersPerHeader * Options.MaxHeaderBytes),
+    : m_Number(Number), m_Socket(Context), m_ConnectTimer(Context),
+      m_Remote(std::move(Remote)), m_Options(Options),
+      m_Buffer(BuffersPerHeader * Options.MaxHeaderBytes),
       m_Reservation(std::move(Memory)) {}
 
 bool ReplicaConnection::isReusable(bool IsIdempotent, TimePoint Now) {
@@ -98,7 +100,7 @@
 void ReplicaConnection::write() {
   if (!m_Current->MaySend())
     return withdraw();
-  m_Text = m_Current->Compose();
+  m_Text = m_Current->Compose(m_Number);
   boost::asio::async_write(m_Socket, boost::asio::buffer(m_Text),
                            [Self = shared_from_this(), Serial = m_Serial](
                                error_code Failed, std::size_t Bytes) {
--- a/packages/gateway/src/gateway/pool/ReplicaConnection.h
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapter/ReplyCodec.h"
+#include "core/id/Ids.h"
 #include "core/time/Time.h"
 #include "gateway/pool/Exchange.h"
 #include "gateway/pool/PoolOptions.h"
@@ -23,11 +24,12 @@
 class ReplicaConnection
     : public std::enable_shared_from_this<ReplicaConnection> {
 public:
-  ReplicaConnection(boost::asio::io_context &Context,
+  ReplicaConnection(boost::asio::io_context &Context, ConnectionNumber Number,
                     boost::asio::ip::tcp::endpoint Remote,
                     const PoolOptions &Options,
                     std::shared_ptr<ReplyMemory> Memory);
 
+  [[nodiscard]] ConnectionNumber number() const { return m_Number; }
   /// @return Whether another request may be sent on it.
   /// @param IsIdempotent Whether that request may be repeated if the replica
   /// closes the connection at the same moment.
@@ -62,6 +64,7 @@
   void succeed(adapter::ReplicaReply Reply);
   void close();
 
+  ConnectionNumber m_Number;
   boost::asio::ip::tcp::socket m_Socket;
   boost::asio::steady_timer m_ConnectTimer;
   boost::asio::ip::tcp::endpoint m_Remote;
--- a/packages/gateway/src/gateway/pool/ReplicaPool.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaPool.cpp
@@ -41,10 +41,10 @@
   }
   if (m_Open.size() >= m_Limit)
     return nullptr;
-  auto Made = std::make_shared<ReplicaConnection>(m_Context, m_Remote,
+  ConnectionNumber Number(++m_Opened);
+  auto Made = std::make_shared<ReplicaConnection>(m_Context, Number, m_Remote,
                                                   m_Options, m_Memory);
   m_Open.push_back({.Connection = Made});
-  ++m_Opened;
   return Made;
 }
 
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
@@ -84,6 +84,7 @@
   m_Attempts.push_back({.Started = Action,
                         .Pool = m_Shared.Links.find(Action.Replica),
                         .SentAt = Now,
+                        .Connection = {},
                         .WrittenAt = {},
                         .EndedAt = {},
                         .Ended = {},
@@ -96,9 +97,8 @@
   Request.MaySend = [Self = shared_from_this(), Id = Action.Id] {
     return Self->m_Run.maySend(Id, monotonicNow());
   };
-  Request.Compose = [Self = shared_from_this(), Id = Action.Id] {
-    return Self->compose(Id);
-  };
+  Request.Compose = [Self = shared_from_this(), Id = Action.Id](
+                        ConnectionNumber On) { return Self->compose(Id, On); };
   Request.Done = [Self = shared_from_this(),
                   Id = Action.Id](ExchangeResult How) {
     Self->onExchange(Id, std::move(How));
@@ -163,9 +163,10 @@
                              "the request may have run"));
 }
 
-std::string ActiveRequest::compose(SubrequestId Id) {
+std::string ActiveRequest::compose(SubrequestId Id, ConnectionNumber On) {
   AttemptState &Attempt = *find(Id);
   TimePoint Now = monotonicNow();
+  Attempt.Connection = On;
   Attempt.WrittenAt = Now;
   Attempt.TimeGiven = m_Run.timeLeft(Now);
   return adapter::encodeSubrequest(m_Asked, Attempt.Started.Replica,
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.h
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.h
@@ -59,7 +59,8 @@
   void apply(const RefuseRequest &Action);
   void apply(const FailRequest &Action);
   /// @return The attempt's subrequest as it is to be sent now.
-  std::string compose(SubrequestId Id);
+  /// @param On The connection that it is sent on.
+  std::string compose(SubrequestId Id, ConnectionNumber On);
   /// @brief Takes in what the attempt's replica says about itself.
   void onNotice(const AttemptState &Attempt, const ReplicaNotice &Told);
   void onExchange(SubrequestId Id, ExchangeResult How);
--- a/packages/gateway/src/gateway/traffic/AttemptState.h
+++ b/packages/gateway/src/gateway/traffic/AttemptState.h
@@ -15,7 +15,8 @@
   StartAttempt Started;
   std::shared_ptr<ReplicaPool> Pool; ///< Null if the replica is unknown.
   ReplicaPool::Ticket Ticket = 0;
-  TimePoint SentAt;                   ///< When it was passed to the pool.
+  TimePoint SentAt; ///< When it was passed to the pool.
+  std::optional<ConnectionNumber> Connection; ///< That it was written on.
   std::optional<TimePoint> WrittenAt; ///< When its first byte was written.
   Milliseconds TimeGiven{0}; ///< Deadline sent to the replica, from WrittenAt.
   TimePoint AbandonAt = TimePoint::max();
--- a/packages/gateway/src/gateway/traffic/RequestLog.cpp
+++ b/packages/gateway/src/gateway/traffic/RequestLog.cpp
@@ -55,13 +55,16 @@
   return "unknown";
 }
 
-/// @return Text such as "i-7f@12ms first cost 1.5: lost reset after 30ms; ".
+/// @return Text such as
+/// "i-7f@12ms first cost 1.5 connection 3: lost reset after 30ms; ".
 std::string describeAttempt(const AttemptState &Attempt, TimePoint ArrivedAt) {
   std::array<char, 32> Cost{};
   std::snprintf(Cost.data(), Cost.size(), "%.1f", Attempt.Started.Cost);
   std::string Text = Attempt.Started.Replica.value() + "@" +
                      std::to_string(millis(Attempt.SentAt - ArrivedAt)) + "ms ";
   Text.append(nameOf(Attempt.Started.Why)).append(" cost ").append(Cost.data());
+  if (Attempt.Connection)
+    Text += " connection " + std::to_string(Attempt.Connection->value());
   if (Attempt.WrittenAt &&
       *Attempt.WrittenAt - Attempt.SentAt >= MinLoggedQueueing)
     Text += " queued " +
--- a/packages/gateway/test/gateway/pool/ReplicaConnectionTest.cpp
+++ b/packages/gateway/test/gateway/pool/ReplicaConnectionTest.cpp
@@ -28,13 +28,13 @@
 
   std::shared_ptr<ReplicaConnection> connectTo(const tcp::endpoint &Remote) {
     return std::make_shared<ReplicaConnection>(
-        Context, Remote, Options,
+        Context, ConnectionNumber(1), Remote, Options,
         std::make_shared<ReplyMemory>(Options.MaxReplyMemory));
   }
   Exchange makeExchange() {
     return {
         .Compose =
-            [] {
+            [](ConnectionNumber) {
               return std::string("GET /s/1 HTTP/1.1\r\nHost: h\r\n"
                                  "X-Request-Id: id1\r\n\r\n");
             },
--- a/packages/gateway/test/gateway/traffic/ReplicaLinksTest.cpp
+++ b/packages/gateway/test/gateway/traffic/ReplicaLinksTest.cpp
@@ -46,10 +46,10 @@
   Pool->setLimit(1);
   std::optional<ExchangeResult> Sent;
   std::optional<ExchangeResult> Waiting;
-  Pool->send({.Compose = [] { return makeText("a"); },
+  Pool->send({.Compose = [](ConnectionNumber) { return makeText("a"); },
               .RequestId = "a",
               .Done = [&](ExchangeResult How) { Sent = std::move(How); }});
-  Pool->send({.Compose = [] { return makeText("b"); },
+  Pool->send({.Compose = [](ConnectionNumber) { return makeText("b"); },
               .RequestId = "b",
               .Done = [&](ExchangeResult How) { Waiting = std::move(How); }});
   while (Only.Arrivals == 0)
