TWICE, REFUSED: no attempt goes out on a connection that carried its request

Cause: a replica that rejects a request may send the rejection once more, late, where the next answer is expected. The request id tells answers of different requests apart, but not those of two attempts of one: when the same request went to the same replica again, the pool gave out the same connection, and the second copy was taken for the answer to the new attempt, which ran. As it counted as not run, the request was sent once more (TWICE) or refused (REFUSED). Both are one fault, hence one commit. Change: Exchange::MayUse rules out connections of the pool that carried an earlier attempt of the request; at the limit of connections an idle one is closed for a new one. A copy can then only meet another request, whose id tells. The class: hedges go to other replicas, and an abandoned attempt's connection is closed; shards have pools of their own; 421 counts as a rejection and has a case of its own.

--- a/packages/gateway/src/gateway/pool/ReplicaPool.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaPool.cpp
@@ -28,17 +28,38 @@
       Each.Connection->cancel();
 }
 
-std::shared_ptr<ReplicaConnection> ReplicaPool::acquire(bool IsIdempotent) {
+std::shared_ptr<ReplicaConnection> ReplicaPool::findIdle(const Exchange &For) {
   TimePoint Now = monotonicNow();
   for (std::size_t I = m_Open.size(); I > 0; --I) {
     Slot &Each = m_Open[I - 1];
     if (Each.Connection->isBusy())
       continue;
-    if (Each.Connection->isReusable(IsIdempotent, Now))
+    if (!Each.Connection->isReusable(For.IsIdempotent, Now)) {
+      Each.Connection->cancel();
+      m_Open.erase(m_Open.begin() + static_cast<std::ptrdiff_t>(I) - 1);
+      continue;
+    }
+    if (For.MayUse(Each.Connection->number()))
       return Each.Connection;
-    Each.Connection->cancel();
-    m_Open.erase(m_Open.begin() + static_cast<std::ptrdiff_t>(I) - 1);
   }
+  return nullptr;
+}
+
+void ReplicaPool::closeOneIdle() {
+  auto Idle = std::find_if(m_Open.begin(), m_Open.end(), [](const Slot &Each) {
+    return !Each.Connection->isBusy();
+  });
+  if (Idle == m_Open.end())
+    return;
+  Idle->Connection->cancel();
+  m_Open.erase(Idle);
+}
+
+std::shared_ptr<ReplicaConnection> ReplicaPool::acquire(const Exchange &For) {
+  if (auto Idle = findIdle(For))
+    return Idle;
+  if (m_Open.size() >= m_Limit)
+    closeOneIdle();
   if (m_Open.size() >= m_Limit)
     return nullptr;
   ConnectionNumber Number(++m_Opened);
@@ -50,7 +71,7 @@
 
 ReplicaPool::Ticket ReplicaPool::send(Exchange Request) {
   Ticket Id = m_NextTicket++;
-  auto Free = m_IsRetired ? nullptr : acquire(Request.IsIdempotent);
+  auto Free = m_IsRetired ? nullptr : acquire(Request);
   if (Free)
     start(Free, Id, std::move(Request));
   else
@@ -113,7 +134,7 @@
   while (!m_Waiting.empty() && !m_IsRetired) {
     if (!m_Waiting.front().Request.MaySend())
       return recheckQueue();
-    auto Free = acquire(m_Waiting.front().Request.IsIdempotent);
+    auto Free = acquire(m_Waiting.front().Request);
     if (!Free)
       return;
     Waiting Next = std::move(m_Waiting.front());
--- a/packages/gateway/src/gateway/pool/ReplicaPool.h
+++ b/packages/gateway/src/gateway/pool/ReplicaPool.h
@@ -61,7 +61,13 @@
     Exchange Request;
   };
 
-  [[nodiscard]] std::shared_ptr<ReplicaConnection> acquire(bool IsIdempotent);
+  /// @return An idle or a new connection that may carry @p For; null if it must
+  /// wait.
+  [[nodiscard]] std::shared_ptr<ReplicaConnection> acquire(const Exchange &For);
+  [[nodiscard]] std::shared_ptr<ReplicaConnection>
+  findIdle(const Exchange &For);
+  /// @brief Closes one idle connection, if there is one.
+  void closeOneIdle();
   void start(const std::shared_ptr<ReplicaConnection> &On, Ticket Id,
              Exchange Request);
   void onDone(Ticket Id);
