LOST: answers without end stay within a VM's memory

What callers saw, on other operators' systems: a replica sent bytes without end, the machine that had called it ran out of memory, and the requests of others on it ended with it. Here: all 40 replicas of a site endless, 16 connections each. Cause: the budget for answers left out what costs most. Each answer had 64 KiB free, for each of any number of connections; the buffer of a connection (up to 128 KiB, never shrunk), the capacity of a body and the fields of a head (15,000 fields of 4 bytes are 60 KB as sent and over 1 MB parsed) were not counted; and the reservation ended when the answer was complete, though its body lived on until the caller had it. Change: the reservation covers buffer, fields and capacity, 8 KiB are free, and it goes with the answer until the caller has it. If the budget is spent, the largest answer that is being read is dropped, so that small ones of other services come through. For that the connection waits for the socket and reads without waiting: no pending operation refers to the memory that is freed. A shard's answer of over 4 KiB is cut to its greatest records as it arrives.

--- a/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
@@ -25,6 +25,13 @@
 constexpr unsigned FirstFinalStatus = 200;
 /// Size of the buffer for unparsed bytes, as a multiple of MaxHeaderBytes.
 constexpr std::size_t BuffersPerHeader = 2;
+/// Memory of a parsed header field, besides its text.
+constexpr std::size_t FieldOverhead = 96;
+/// Size of a read, unless the buffer has grown for a longer head.
+constexpr std::size_t ReadBytes = std::size_t{4} << 10;
+/// Reads from one connection before the others get their turn.
+constexpr unsigned ReadsPerWait = 8;
+constexpr const char *TooLarge = "answer exceeds the memory for answers";
 
 /// @return Whether the socket is open and has nothing to read: neither data nor
 /// an end of file.
@@ -34,6 +41,13 @@
   return Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+std::size_t memoryOf(const boost::beast::http::response_header<> &Head) {
+  std::size_t Bytes = 0;
+  for (const auto &Field : Head)
+    Bytes += FieldOverhead + Field.name_string().size() + Field.value().size();
+  return Bytes;
+}
+
 } // namespace
 
 ReplicaConnection::ReplicaConnection(boost::asio::io_context &Context,
@@ -44,7 +58,7 @@
     : m_Number(Number), m_Socket(Context), m_ConnectTimer(Context),
       m_Remote(std::move(Remote)), m_Options(Options),
       m_Buffer(BuffersPerHeader * Options.MaxHeaderBytes),
-      m_Reservation(std::move(Memory)) {}
+      m_Memory(std::move(Memory)), m_Reservation(makeReservation()) {}
 
 bool ReplicaConnection::isReusable(bool IsIdempotent, TimePoint Now) {
   if (!m_IsReusable || !m_IsConnected || m_Current)
@@ -92,6 +106,7 @@
                            if (ConnectFailed)
                              return Self->fail(false, ConnectFailed.message());
                            Self->m_IsConnected = true;
+                           Self->m_Socket.non_blocking(true, ConnectFailed);
                            Self->m_IdleSince = monotonicNow();
                            Self->write();
                          });
@@ -115,41 +130,77 @@
 
 void ReplicaConnection::beginAnswer() {
   m_Parser.emplace();
+  m_Buffer.reserve(ReadBytes);
+  m_FieldBytes = 0;
   m_Parser->eager(true);
   m_Parser->skip(m_Current->IsHead);
   m_Parser->header_limit(static_cast<std::uint32_t>(m_Options.MaxHeaderBytes));
   m_Parser->body_limit(m_Options.MaxBodyBytes);
-  read();
+  if (m_Buffer.size() > 0)
+    read();
+  else
+    awaitBytes();
+}
+
+void ReplicaConnection::awaitBytes() {
+  m_Socket.async_wait(
+      tcp::socket::wait_read,
+      [Self = shared_from_this(), Serial = m_Serial](error_code Failed) {
+        if (!Self->m_Current || Self->m_Serial != Serial)
+          return;
+        if (Self->m_IsDropped)
+          return Self->fail(true, TooLarge);
+        if (Failed)
+          return Self->fail(true, Failed.message());
+        Self->read();
+      });
 }
 
 void ReplicaConnection::read() {
-  beast_http::async_read_some(m_Socket, m_Buffer, *m_Parser,
-                              [Self = shared_from_this(), Serial = m_Serial](
-                                  error_code Failed, std::size_t) {
-                                if (Self->m_Current && Self->m_Serial == Serial)
-                                  Self->onRead(Failed);
-                              });
+  for (unsigned I = 0; I < ReadsPerWait; ++I) {
+    error_code Failed;
+    beast_http::read_some(m_Socket, m_Buffer, *m_Parser, Failed);
+    if (Failed == boost::asio::error::would_block)
+      break;
+    if (Failed)
+      return fail(true, Failed.message());
+    if (!m_Reservation->tryGrow(answerBytes()))
+      return fail(true, TooLarge);
+    if (m_Parser->is_done())
+      return onAnswer();
+  }
+  if (!m_Reservation->tryGrow(answerBytes()))
+    return fail(true, TooLarge);
+  awaitBytes();
 }
 
-void ReplicaConnection::onRead(error_code Failed) {
-  if (Failed)
-    return fail(true, Failed.message());
-  if (m_Parser->is_done())
-    return onAnswer();
-  std::size_t Held = m_Buffer.size() + m_Parser->get().body().size();
-  if (!m_Reservation.tryGrow(Held))
-    return fail(true, "answer exceeds the memory for answers");
-  read();
+std::size_t ReplicaConnection::answerBytes() {
+  if (m_FieldBytes == 0 && m_Parser->is_header_done())
+    m_FieldBytes = memoryOf(m_Parser->get());
+  return m_Buffer.capacity() + m_FieldBytes + m_Parser->get().body().capacity();
+}
+
+std::unique_ptr<ReplyReservation> ReplicaConnection::makeReservation() {
+  return std::make_unique<ReplyReservation>(m_Memory, [this] { drop(); });
+}
+
+void ReplicaConnection::drop() {
+  m_IsDropped = true;
+  m_Parser.reset();
+  m_Buffer.clear();
+  m_Buffer.shrink_to_fit();
+  error_code Ignored;
+  m_Socket.close(Ignored);
 }
 
 void ReplicaConnection::onAnswer() {
-  m_Reservation.reset();
   bool IsInterim = m_Parser->get().result_int() < FirstFinalStatus;
   adapter::ReplicaReply Reply = adapter::decodeReply(m_Parser->release());
   bool IsOther =
       !Reply.RequestId.empty() && Reply.RequestId != m_Current->RequestId;
   if (!IsInterim && !IsOther)
     return succeed(std::move(Reply));
+  m_Reservation->reset();
   m_IsReusable = m_IsReusable && IsInterim;
   if (++m_SkippedAnswers > MaxSkippedAnswers || (IsOther && !Reply.KeepsAlive))
     return fail(true, "too many interim answers or answers to other requests");
@@ -161,6 +212,7 @@
   m_IsReusable = m_IsReusable && Reply.KeepsAlive && IsClean;
   m_IdleTimeout = Reply.IdleTimeout;
   m_IdleSince = monotonicNow();
+  releaseMemory(Reply);
   auto Done = std::move(m_Current->Done);
   m_Current.reset();
   if (!m_IsReusable)
@@ -168,6 +220,17 @@
   Done(std::move(Reply));
 }
 
+void ReplicaConnection::releaseMemory(adapter::ReplicaReply &Reply) {
+  m_Parser.reset();
+  if (m_Buffer.capacity() > ReplyMemory::FreeBytesPerReply)
+    m_Buffer.shrink_to_fit();
+  if (m_Reservation->bytes() == 0)
+    return;
+  m_Reservation->retain();
+  Reply.Memory = std::move(m_Reservation);
+  m_Reservation = makeReservation();
+}
+
 void ReplicaConnection::withdraw() {
   // Posted, because Done may start the next waiting request on this connection,
   // which may be withdrawn as well.
@@ -194,7 +257,7 @@
 }
 
 void ReplicaConnection::close() {
-  m_Reservation.reset();
+  m_Reservation->reset();
   m_IsReusable = false;
   m_IsConnected = false;
   m_ConnectTimer.cancel();
--- a/packages/gateway/src/gateway/pool/ReplicaConnection.h
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.h
@@ -55,13 +55,24 @@
   void connect();
   void write();
   void beginAnswer();
+  /// @brief Waits until there is something to read. No operation refers to the
+  /// buffer meanwhile, so that drop() can free it.
+  void awaitBytes();
   void read();
-  void onRead(boost::system::error_code Failed);
   void onAnswer();
+  /// @return The memory that the answer uses so far.
+  [[nodiscard]] std::size_t answerBytes();
+  [[nodiscard]] std::unique_ptr<ReplyReservation> makeReservation();
+  /// @brief Frees the answer that is being read, as its memory is needed for
+  /// smaller ones; the current request fails soon after.
+  void drop();
   /// @brief Ends the current request unsent; the connection stays usable.
   void withdraw();
   void fail(bool WasSent, const std::string &Why);
   void succeed(adapter::ReplicaReply Reply);
+  /// @brief Passes the reservation of the answer on to @p Reply, and frees the
+  /// rest.
+  void releaseMemory(adapter::ReplicaReply &Reply);
   void close();
 
   ConnectionNumber m_Number;
@@ -71,7 +82,11 @@
   PoolOptions m_Options;
   boost::beast::flat_buffer m_Buffer;
   std::optional<Parser> m_Parser;
-  ReplyReservation m_Reservation; ///< Memory of the answer that is being read.
+  std::shared_ptr<ReplyMemory> m_Memory;
+  /// Memory of the answer that is being read.
+  std::unique_ptr<ReplyReservation> m_Reservation;
+  std::size_t m_FieldBytes = 0; ///< Memory of the parsed head; 0 before.
+  bool m_IsDropped = false;
   std::optional<Exchange> m_Current;
   std::string m_Text; ///< Serialised request that is being written.
   /// Number of the current request; callbacks of earlier ones are ignored.
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr auto AsTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+/// Size up to which a shard's records are kept as they are until the answer.
+constexpr std::size_t MaxUnsortedBytes = std::size_t{4} << 10;
 constexpr unsigned FirstError = 300;
 constexpr unsigned BadGateway = 502;
 constexpr unsigned GatewayTimeout = 504;
@@ -204,9 +206,23 @@
   }
   Attempt->Reply = std::move(std::get<adapter::ReplicaReply>(How));
   onNotice(*Attempt, Attempt->Reply->Notice);
+  shorten(*Attempt->Reply);
   end(Id, classify(*Attempt->Reply));
 }
 
+void ActiveRequest::shorten(adapter::ReplicaReply &Reply) const {
+  const auto *Shards = std::get_if<ShardSetTarget>(&m_Run.route().Target);
+  if (Shards == nullptr)
+    return;
+  Reply.Headers = {};
+  if (Reply.Body.size() <= MaxUnsortedBytes)
+    return;
+  GreatestRecords Records(Shards->TopRecords);
+  Records.add(Reply.Body);
+  Reply.Body = Records.take();
+  Reply.Memory.reset();
+}
+
 void ActiveRequest::end(SubrequestId Id, AttemptResult How) {
   AttemptState *Attempt = find(Id);
   TimePoint Now = monotonicNow();
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.h
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.h
@@ -67,6 +67,8 @@
   /// @brief Takes in what the attempt's replica says about itself.
   void onNotice(const AttemptState &Attempt, const ReplicaNotice &Told);
   void onExchange(SubrequestId Id, ExchangeResult How);
+  /// @brief Frees what a merged answer does not need of a shard's answer.
+  void shorten(adapter::ReplicaReply &Reply) const;
   void end(SubrequestId Id, AttemptResult How);
   void abandonExpired(TimePoint Now);
   void onCallerGone();
--- a/packages/http/src/http/Response.h
+++ b/packages/http/src/http/Response.h
@@ -2,6 +2,7 @@
 
 #include "http/Header.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -15,6 +16,8 @@
   std::string ContentType = "application/json"; ///< No header if empty.
   std::vector<Header> Headers; ///< Other than Content-Type and Content-Length.
   std::string Body;
+  /// Kept until the response was written, such as a reservation of memory.
+  std::shared_ptr<void> KeptAlive;
 
   /// @return The value of the first header named @p Name, without regard to
   /// case.
--- a/packages/http/src/http/Session.cpp
+++ b/packages/http/src/http/Session.cpp
@@ -278,6 +278,7 @@
 
 awaitable<bool> Session::write(Response Answer, bool KeepAlive, bool IsHead) {
   KeepAlive = KeepAlive && !mustClose();
+  std::shared_ptr<void> Kept = std::move(Answer.KeptAlive);
   beast_http::response<beast_http::string_body> Outgoing =
       toBeast(std::move(Answer), KeepAlive);
   if (IsHead)
--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -17,7 +17,8 @@
 class Vm:
     """One gateway VM; its process is restarted whenever it ends."""
 
-    def __init__(self, number, prefix, folder, program, store_address, observer):
+    def __init__(self, number, prefix, folder, program, store_address, observer,
+                 memory_mb=None, max_descriptors=4096):
         self.name = f"vm{number}"
         self.ip = f"{prefix}.1.{number + 1}"
         self.centre = CENTRES[number % VM_CENTRES]
@@ -32,16 +33,19 @@
         self.started_at = 0.0
         self.supervisor = None
         seeds = [f"{prefix}.1.{k + 1}:{PORTS['Control']}" for k in range(3)]
-        self._write_settings(store_address, seeds)
+        limits = {"CpuShare": 1, "Cores": 1, "MaxFds": max_descriptors}
+        if memory_mb is not None:
+            limits["MemoryMb"] = memory_mb
+        self._write_settings(store_address, seeds, limits)
 
-    def _write_settings(self, store_address, seeds):
+    def _write_settings(self, store_address, seeds, limits):
         content = {
             "Node": self.name, "Role": "gateway", "Class": "front",
             "Ip": self.ip, "Zone": self.centre, "Region": "norrland",
             "Listen": {name: f"{self.ip}:{port}"
                        for name, port in PORTS.items()},
             "InternalPortRange": [7380, 7395], "Seeds": seeds,
-            "Limits": {"CpuShare": 1, "Cores": 1, "MaxFds": 4096},
+            "Limits": limits,
             "HeartbeatMs": 1200,
             "Bounds": {"GraceS": bounds.GRACE_S, "ttl_max_s": 5,
                        "DrainMs": 1000 * bounds.DRAIN_S,
