MIXED: the answer to HEAD is not confused with another request's

Cause: the answer to HEAD has a length but no body, so its end depends on the request. A late answer to another request before it was read without its body, and the body as the next answer; and a late second copy of an answer to HEAD would be read with the next answer as its body. Change: another request's answer ends a HEAD request, and a connection is not used again after one.

--- a/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
@@ -106,7 +106,8 @@
                            if (ConnectFailed)
                              return Self->fail(false, ConnectFailed.message());
                            Self->m_IsConnected = true;
-                           Self->m_Socket.non_blocking(true, ConnectFailed);
+                           error_code Ignored;
+                           Self->m_Socket.non_blocking(true, Ignored);
                            Self->m_IdleSince = monotonicNow();
                            Self->write();
                          });
@@ -202,6 +203,9 @@
     return succeed(std::move(Reply));
   m_Reservation->reset();
   m_IsReusable = m_IsReusable && IsInterim;
+  // Where another request's answer ends is known only if both have a body.
+  if (IsOther && m_Current->IsHead)
+    return fail(true, "answer to another request before that to HEAD");
   if (++m_SkippedAnswers > MaxSkippedAnswers || (IsOther && !Reply.KeepsAlive))
     return fail(true, "too many interim answers or answers to other requests");
   beginAnswer();
@@ -209,7 +213,9 @@
 
 void ReplicaConnection::succeed(adapter::ReplicaReply Reply) {
   bool IsClean = m_IsWritten && m_Buffer.size() == 0;
-  m_IsReusable = m_IsReusable && Reply.KeepsAlive && IsClean;
+  // A late second copy of an answer to HEAD would have a length but no body.
+  m_IsReusable =
+      m_IsReusable && Reply.KeepsAlive && IsClean && !m_Current->IsHead;
   m_IdleTimeout = Reply.IdleTimeout;
   m_IdleSince = monotonicNow();
   releaseMemory(Reply);
