LOST: the requests of all callers stay within a VM's memory

Cause, found for the class of the answers without end: MaxBodyBytes and MaxHeaderBytes hold for one request, and a VM has up to 3,000 callers. 1,000 unfinished bodies of 256 KiB took 268 MB of 160, 1,000 heads of 3,900 short fields 312 MB. Change: the requests of a listener share a limit (RequestMemory, an eighth of the VM's memory for callers; 8 KiB of each are free), which counts the buffer, the parsed fields, their copy and the body; who exceeds it gets 503 out_of_memory, unrun. A session waits for its socket and reads without waiting, so that the limit is looked at before each wait; a buffer that has grown is freed. ListenerLimitsTest has the 503.

--- a/packages/gateway/src/gateway/app/Gateway.cpp
+++ b/packages/gateway/src/gateway/app/Gateway.cpp
@@ -38,6 +38,8 @@
 /// All answers being read may use 1/ReplyMemoryDivisor of the memory together,
 /// and the body of a single answer 1/ReplyMemoryDivisor of that.
 constexpr std::size_t ReplyMemoryDivisor = 4;
+/// All requests of callers may use 1/RequestMemoryDivisor of the memory.
+constexpr std::size_t RequestMemoryDivisor = 8;
 /// A replica entry expires after three missed heartbeats. The first of them may
 /// already have passed when the store is lost, so two are counted here.
 constexpr int HeartbeatsToExpiry = 2;
@@ -71,6 +73,7 @@
   Options.MaxCallers = Settings.MaxDescriptors > 2 * ReservedDescriptors
                            ? Settings.MaxDescriptors - ReservedDescriptors
                            : Settings.MaxDescriptors / 2;
+  Options.MaxRequestMemory = Settings.MemoryBytes / RequestMemoryDivisor;
   Options.Pool.MaxReplyMemory = Settings.MemoryBytes / ReplyMemoryDivisor;
   Options.Pool.MaxBodyBytes = Options.Pool.MaxReplyMemory / ReplyMemoryDivisor;
   Options.Placement.Centre = Settings.Centre;
--- a/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
@@ -1,6 +1,7 @@
 #include "gateway/pool/ReplicaConnection.h"
 
 #include "core/invariant/Invariant.h"
+#include "http/FieldMemory.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -25,8 +26,6 @@
 constexpr unsigned FirstFinalStatus = 200;
 /// Size of the buffer for unparsed bytes, as a multiple of MaxHeaderBytes.
 constexpr std::size_t BuffersPerHeader = 2;
-/// Memory of a parsed header field, besides its text.
-constexpr std::size_t FieldOverhead = 96;
 /// Size of a read, unless the buffer has grown for a longer head.
 constexpr std::size_t ReadBytes = std::size_t{4} << 10;
 /// Reads from one connection before the others get their turn.
@@ -41,13 +40,6 @@
   return Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-std::size_t memoryOf(const boost::beast::http::response_header<> &Head) {
-  std::size_t Bytes = 0;
-  for (const auto &Field : Head)
-    Bytes += FieldOverhead + Field.name_string().size() + Field.value().size();
-  return Bytes;
-}
-
 } // namespace
 
 ReplicaConnection::ReplicaConnection(boost::asio::io_context &Context,
@@ -177,7 +169,7 @@
 
 std::size_t ReplicaConnection::answerBytes() {
   if (m_FieldBytes == 0 && m_Parser->is_header_done())
-    m_FieldBytes = memoryOf(m_Parser->get());
+    m_FieldBytes = http::fieldMemory(m_Parser->get());
   return m_Buffer.capacity() + m_FieldBytes + m_Parser->get().body().capacity();
 }
 
--- a/packages/gateway/src/gateway/traffic/CallerService.cpp
+++ b/packages/gateway/src/gateway/traffic/CallerService.cpp
@@ -44,6 +44,7 @@
   Listen.Address = m_Options.CallerAddress;
   Listen.MaxConnections = m_Options.MaxCallers;
   Listen.MaxConnectionsPerAddress = m_Options.MaxCallers;
+  Listen.MaxRequestMemory = m_Options.MaxRequestMemory;
   Listen.AnnounceIdleClose = false;
   Listen.WatchCallers = true;
   auto Opened =
--- a/packages/http/src/http/Session.cpp
+++ b/packages/http/src/http/Session.cpp
@@ -3,6 +3,7 @@
 #include "http/BeastMessage.h"
 #include "http/Endpoint.h"
 #include "http/ErrorResponse.h"
+#include "http/FieldMemory.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
@@ -34,6 +35,10 @@
 /// closed socket cause a reset, which could overtake the response.
 constexpr Milliseconds LingerTimeout{500};
 constexpr std::size_t DiscardBytes = 4096;
+/// The parsed head, and the copy of it that the handler gets.
+constexpr std::size_t CopiesOfHead = 2;
+/// Size of a read, unless the buffer has grown for a longer head.
+constexpr std::size_t ReadBytes = std::size_t{4} << 10;
 constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
 /// @brief Counts a request as in flight during the guard's lifetime.
@@ -74,6 +79,8 @@
       m_RemoteIp(Remote.address().to_string()),
       m_RemoteAddress(formatEndpoint(Remote)),
       m_Buffer(m_Table->options().MaxHeaderBytes + ReadAheadBytes) {
+  error_code Ignored;
+  m_Socket.non_blocking(true, Ignored);
   m_Table->add(*this);
 }
 
@@ -142,6 +149,7 @@
 awaitable<bool> Session::awaitRequest() {
   if (m_Buffer.size() > 0)
     co_return true;
+  shrinkBuffer();
   bool IsWaiting = !m_CloseWhenIdle;
   waitAtMost(m_Table->options().IdleTimeout);
   while (IsWaiting) {
@@ -165,7 +173,8 @@
   Incoming.header_limit(
       static_cast<std::uint32_t>(m_Table->options().MaxHeaderBytes));
   Incoming.body_limit(m_Table->options().MaxBodyBytes);
-  error_code Failed = co_await readRequest(Incoming);
+  RequestReservation Held(m_Table->memory());
+  error_code Failed = co_await readRequest(Incoming, Held);
   if (Failed)
     co_return co_await reject(Failed);
   bool KeepAlive = Incoming.get().keep_alive();
@@ -181,17 +190,52 @@
   co_return co_await write(std::move(Answer), KeepAlive, IsHead);
 }
 
-awaitable<error_code> Session::readRequest(Parser &Into) {
+awaitable<error_code> Session::readRequest(Parser &Into,
+                                           RequestReservation &Held) {
   waitAtMost(m_Table->options().HeaderTimeout);
-  auto [HeaderFailed, HeaderBytes] =
-      co_await beast_http::async_read_header(m_Socket, m_Buffer, Into, AsTuple);
-  if (HeaderFailed)
-    co_return HeaderFailed;
+  error_code Failed = co_await readUntil(&Parser::is_header_done, Into, Held);
+  if (Failed)
+    co_return Failed;
   waitAtMost(m_Table->options().BodyTimeout);
   co_await sendContinue(Into);
-  auto [BodyFailed, BodyBytes] =
-      co_await beast_http::async_read(m_Socket, m_Buffer, Into, AsTuple);
-  co_return BodyFailed;
+  Into.eager(true);
+  co_return co_await readUntil(&Parser::is_done, Into, Held);
+}
+
+std::size_t Session::requestBytes(const Parser &Read) const {
+  std::size_t Bytes = m_Buffer.capacity() + Read.get().body().capacity();
+  if (Read.is_header_done())
+    Bytes += CopiesOfHead * fieldMemory(Read.get());
+  return Bytes;
+}
+
+awaitable<error_code> Session::readUntil(bool (Parser::*IsComplete)() const,
+                                         Parser &Into,
+                                         RequestReservation &Held) {
+  m_Buffer.reserve(ReadBytes);
+  while (!(Into.*IsComplete)()) {
+    error_code Failed;
+    beast_http::read_some(m_Socket, m_Buffer, Into, Failed);
+    bool IsWaiting = Failed == boost::asio::error::would_block;
+    if (Failed && !IsWaiting)
+      co_return Failed;
+    if (!Held.tryGrow(requestBytes(Into)))
+      co_return make_error_code(boost::system::errc::not_enough_memory);
+    if (!IsWaiting)
+      continue;
+    if (m_Expired)
+      co_return boost::asio::error::operation_aborted;
+    auto [WaitFailed] = co_await m_Socket.async_wait(
+        boost::asio::socket_base::wait_read, AsTuple);
+    if (WaitFailed)
+      co_return WaitFailed;
+  }
+  co_return error_code();
+}
+
+void Session::shrinkBuffer() {
+  if (m_Buffer.size() == 0 && m_Buffer.capacity() > ReadBytes)
+    m_Buffer.shrink_to_fit();
 }
 
 awaitable<void> Session::sendContinue(const Parser &Headers) {
@@ -221,6 +265,10 @@
                            "the body must not exceed " +
                                std::to_string(m_Table->options().MaxBodyBytes) +
                                " bytes");
+  } else if (Cause == boost::system::errc::not_enough_memory) {
+    ++Stats.OutOfMemory;
+    Answer = errorResponse(503, "not_run", "out_of_memory",
+                           "the memory for requests is used up");
   } else if (isProtocolError(Cause)) {
     ++Stats.Malformed;
     Answer = errorResponse(400, "not_run", "malformed", Cause.message());
--- a/packages/http/src/http/Session.h
+++ b/packages/http/src/http/Session.h
@@ -3,6 +3,7 @@
 #include "core/time/Time.h"
 #include "http/CallerConnection.h"
 #include "http/Message.h"
+#include "http/RequestReservation.h"
 #include "http/SessionTable.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -53,7 +54,16 @@
   void waitForever();
   boost::asio::awaitable<bool> awaitRequest();
   boost::asio::awaitable<bool> serveRequest();
-  boost::asio::awaitable<boost::system::error_code> readRequest(Parser &Into);
+  boost::asio::awaitable<boost::system::error_code>
+  readRequest(Parser &Into, RequestReservation &Held);
+  /// @return The memory that a request uses so far.
+  [[nodiscard]] std::size_t requestBytes(const Parser &Read) const;
+  /// @brief Reads on until the head, or the whole request, is complete.
+  boost::asio::awaitable<boost::system::error_code>
+  readUntil(bool (Parser::*IsComplete)() const, Parser &Into,
+            RequestReservation &Held);
+  /// @brief Frees a buffer that a long request left behind.
+  void shrinkBuffer();
   boost::asio::awaitable<void> sendContinue(const Parser &Headers);
   boost::asio::awaitable<bool> reject(boost::system::error_code Cause);
   boost::asio::awaitable<Response> callHandler(Request Asked);
--- a/packages/http/src/http/SessionTable.h
+++ b/packages/http/src/http/SessionTable.h
@@ -2,6 +2,7 @@
 
 #include "core/time/Time.h"
 #include "http/Listener.h"
+#include "http/RequestMemory.h"
 
 #include <cstddef>
 #include <string>
@@ -26,6 +27,7 @@
   /// @return Whether one more connection from @p Ip is within the limits.
   [[nodiscard]] bool hasRoomFor(const std::string &Ip) const;
 
+  [[nodiscard]] RequestMemory &memory() { return m_Memory; }
   /// @brief The counters, which the sessions update.
   [[nodiscard]] ListenerStats &counters() { return m_Stats; }
   void add(Session &Added);
@@ -44,6 +46,7 @@
 private:
   ListenerOptions m_Options;
   Handler m_Handler;
+  RequestMemory m_Memory;
   ListenerStats m_Stats;
   bool m_Draining = false;
   std::unordered_set<Session *> m_Sessions;
--- a/packages/http/test/http/ListenerLimitsTest.cpp
+++ b/packages/http/test/http/ListenerLimitsTest.cpp
@@ -32,6 +32,13 @@
             .value());
   }
 
+  /// @brief Lets the server run.
+  void wait(Milliseconds Time) {
+    Io.run([&]() -> awaitable<void> {
+      boost::asio::steady_timer Timer(Io.context(), Time);
+      co_await Timer.async_wait(boost::asio::use_awaitable);
+    });
+  }
   /// @brief Sends @p Bytes.
   /// @return Everything received until the server closes the connection.
   std::string send(std::string_view Bytes) {
@@ -60,6 +67,33 @@
   CHECK(F.Server->stats().Requests == 0);
 }
 
+// Each body was within its limit, but all of them together were not bounded.
+TEST_CASE("LOST: requests that exceed their memory together get 503 and do not "
+          "run") {
+  constexpr std::size_t BodyBytes = std::size_t{64} << 10;
+  Fixture F({.MaxBodyBytes = BodyBytes, .MaxRequestMemory = 2 * BodyBytes});
+  std::string Head = "POST / HTTP/1.1\r\nConnection: close\r\n"
+                     "Content-Length: " +
+                     std::to_string(BodyBytes) + "\r\n\r\n";
+  std::string Part(BodyBytes - 1, 'a');
+  {
+    RawClient First(F.Io.context(), F.Server->address());
+    RawClient Second(F.Io.context(), F.Server->address());
+    First.send(Head + Part);
+    Second.send(Head + Part);
+    F.wait(Short);
+    std::string Text = F.send(Head + Part);
+    CHECK(contains(Text, "HTTP/1.1 503"));
+    CHECK(contains(Text, R"("outcome":"not_run")"));
+    CHECK(F.Server->stats().OutOfMemory == 1);
+    CHECK(F.Server->stats().Requests == 0);
+    CHECK(contains(F.send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n"),
+                   "HTTP/1.1 200"));
+  }
+  F.wait(Short);
+  CHECK(contains(F.send(Head + Part + "a"), "HTTP/1.1 200"));
+}
+
 TEST_CASE("a header above the limit gets 431") {
   Fixture F({.MaxHeaderBytes = 100});
   std::string Text =
--- a/scripts/endless/replicas.py
+++ b/scripts/endless/replicas.py
@@ -21,8 +21,8 @@
         self.busy = 0
         self.most_busy = 0
 
-    async def start(self, host):
-        self.server = await asyncio.start_server(self._serve, host, 0)
+    async def start(self, host, port=0):
+        self.server = await asyncio.start_server(self._serve, host, port)
         self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
 
     async def _serve(self, reader, writer):
--- a/scripts/endless/test_memory.py
+++ b/scripts/endless/test_memory.py
@@ -22,11 +22,19 @@
 REPLICAS_OF_SERVICE = 2
 CONNECTIONS_OF_REPLICA = 16  # the most that one VM opens to one replica
 SOUND_CALLERS = 4
+SLOW_CALLERS = 1_000
+STORE_PIECE_BYTES = 1 << 20
+MAX_BODY_BYTES = 256 << 10  # of a caller's request, as configured
+MAX_HEAD_BYTES = 16 << 10
+MANY_FIELDS_OF_CALLER = 3_900
 SOUND_BODY = b"r" * (32 << 10)
-TIMEOUT_MS = 4_000
+TIMEOUT_MS = 10_000
 LOAD_S = 5.0
 HEARTBEAT_S = 1.0
 OK = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: 3e1b.07\r\n"
+ENDLESS_CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+REQUEST = (b"POST /sound/1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: slow\r\n"
+           % HOST.encode())
 CHUNK = b"%x\r\n%s\r\n" % (PIECE_BYTES, b"a" * PIECE_BYTES)
 FILLER = b"a" * PIECE_BYTES
 MANY_FIELDS = b"a:\r\n" * 15_000  # costs far more memory parsed than as sent
@@ -70,7 +78,10 @@
             "Version": 1,
             "Routes": [route(f"/{each}/", each) for each in sorted(services)],
             "Services": [{"Name": each, "MaxConns": 1_000}
-                         for each in sorted(services)]})
+                         for each in sorted(services)],
+            "Limits": {"MaxHeaderBytes": MAX_HEAD_BYTES,
+                       "MaxBodyBytes": MAX_BODY_BYTES,
+                       "HeaderTimeoutMs": 3_000, "IdleTimeoutMs": 15_000}})
         self._write_entries()
         address = "%s:%d" % self.store.runner.addresses[0][:2]
         self.vm = Vm(0, self.prefix, self.folder, PROGRAM, address,
@@ -128,17 +139,46 @@
             self._write_entries()
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def load(self):
+    async def _send_slowly(self, text, end):
+        """Sends a request that does not end, and waits for the answer to it."""
+        while time.monotonic() < end:
+            host, port = self.vm.address().split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            try:
+                for begin in range(0, len(text), PIECE_BYTES):
+                    writer.write(text[begin:begin + PIECE_BYTES])
+                    await writer.drain()
+                    await asyncio.sleep(0)
+                await asyncio.wait_for(reader.read(1), end - time.monotonic())
+            except (OSError, asyncio.TimeoutError):
+                pass
+            finally:
+                writer.close()
+
+    async def _load(self, calls, end):
+        """Runs the calls beside those of the sound service, until the last of
+        these is answered."""
+        calls.append(self._send_heartbeats(end))
+        background = [asyncio.ensure_future(each) for each in calls]
+        await asyncio.gather(*[
+            self._call("sound", f"w{number}", self.sound_answers, end)
+            for number in range(SOUND_CALLERS)])
+        for each in background:
+            each.cancel()
+        await asyncio.gather(*background, return_exceptions=True)
+
+    async def load_replicas(self):
+        end = time.monotonic() + LOAD_S
+        await self._load([
+            self._call(f"s{service}", f"e{service}-{number}", [], end)
+            for service in range(SERVICES)
+            for number in range(REPLICAS_OF_SERVICE * CONNECTIONS_OF_REPLICA)],
+            end)
+
+    async def load_callers(self, text):
         end = time.monotonic() + LOAD_S
-        calls = [self._send_heartbeats(end)]
-        for number in range(SOUND_CALLERS):
-            calls.append(self._call("sound", f"w{number}", self.sound_answers,
-                                    end))
-        for service in range(SERVICES):
-            for number in range(REPLICAS_OF_SERVICE * CONNECTIONS_OF_REPLICA):
-                calls.append(self._call(f"s{service}", f"e{service}-{number}",
-                                        [], end))
-        await asyncio.gather(*calls)
+        await self._load([self._send_slowly(text, end)
+                          for _ in range(SLOW_CALLERS)], end)
 
     async def stop(self):
         await self.vm.shut_down()
@@ -147,12 +187,24 @@
         await self.store.stop()
         self.reservation.close()
 
+    async def load_store(self):
+        """The store's address answers all calls with bytes without end."""
+        host, port = self.store.runner.addresses[0][:2]
+        await self.store.stop()
+        chunk = b"%x\r\n%s\r\n" % (STORE_PIECE_BYTES, b"[" * STORE_PIECE_BYTES)
+        endless = EndlessReplica("store", "store", ENDLESS_CHUNKS, chunk)
+        await endless.start(host, port)
+        try:
+            await self._load([], time.monotonic() + LOAD_S)
+        finally:
+            await endless.stop()
+
 
-async def play(folder, head, piece):
+async def play(folder, head, piece, load):
     site = EndlessSite(folder, head, piece)
     try:
         await site.start()
-        await site.load()
+        await load(site)
         peak = peak_memory_mb(site.vm.child.pid)
         busy = sum(each.most_busy for each in site.endless)
         return peak, busy, site.sound_answers, site.observer.violations
@@ -164,19 +216,28 @@
     """LOST: bytes without end ended the process of other callers' requests."""
 
     def check(self, head, piece):
+        """All replicas are endless, and all connections to them busy."""
+        busy = self.check_load(head, piece, EndlessSite.load_replicas)
+        self.assertGreater(busy, SERVICES * REPLICAS_OF_SERVICE *
+                           CONNECTIONS_OF_REPLICA // 2)
+
+    def check_callers(self, text):
+        """Many callers send a request that does not end."""
+        self.check_load(OK, FILLER, lambda site: site.load_callers(text))
+
+    def check_load(self, head, piece, load):
         with tempfile.TemporaryDirectory(prefix="endless-") as folder:
             peak, busy, answers, violations = asyncio.run(
-                play(folder, head, piece))
+                play(folder, head, piece, load))
         served = sum(1 for each in answers if each == 200)
         print(f"{self._testMethodName}: peak {peak:.0f} MB of {MEMORY_MB}, "
               f"{busy} connections busy, {served} of {len(answers)} other "
               "requests served", flush=True)
         self.assertEqual(violations, [])
-        self.assertGreater(busy, SERVICES * REPLICAS_OF_SERVICE *
-                           CONNECTIONS_OF_REPLICA // 2)
         self.assertLess(peak, MEMORY_MB)
         self.assertGreater(len(answers), 0)
         self.assertEqual(served, len(answers))
+        return busy
 
     def test_head_of_one_field(self):
         self.check(OK + b"X-Long: ", FILLER)
@@ -199,6 +260,17 @@
     def test_body_after_many_fields(self):
         self.check(OK + MANY_FIELDS + b"\r\n", FILLER)
 
+    def test_store(self):
+        self.check_load(OK, FILLER, EndlessSite.load_store)
+
+    def test_bodies_of_callers(self):
+        self.check_callers(REQUEST + b"Content-Length: %d\r\n\r\n" %
+                           MAX_BODY_BYTES + b"a" * (MAX_BODY_BYTES - 1))
+
+    def test_heads_of_callers(self):
+        self.check_callers(REQUEST + b"a:\r\n" * MANY_FIELDS_OF_CALLER +
+                           b"Content-Length: 9\r\n\r\n")
+
 
 if __name__ == "__main__":
     unittest.main()
