LOST: requests at the ports of control stay within a VM's memory

Cause, the same as for callers' requests: each request could have a body of 1 MiB, on 4,096 connections a port; the directory is asked by every caller. Change: bodies of 4 KiB at most (no call there has one), 4 MiB for all requests of a port. A shard's answer also gives its reservation back if it is short.

--- a/packages/gateway/src/gateway/control/ControlServers.cpp
+++ b/packages/gateway/src/gateway/control/ControlServers.cpp
@@ -15,6 +15,10 @@
 
 namespace {
 
+/// The requests have no bodies.
+constexpr std::size_t MaxBodyBytes = std::size_t{4} << 10;
+/// Memory that the requests to one port use together.
+constexpr std::size_t MaxRequestMemory = std::size_t{4} << 20;
 constexpr unsigned NotFound = 404;
 constexpr unsigned Unavailable = 503;
 
@@ -60,6 +64,8 @@
                                          Answer Give) {
   http::ListenerOptions Listen;
   Listen.Address = Address;
+  Listen.MaxBodyBytes = MaxBodyBytes;
+  Listen.MaxRequestMemory = MaxRequestMemory;
   Listen.AnnounceIdleClose = false;
   auto Opened = http::Listener::open(m_Context, Listen, std::move(Give));
   if (!Opened)
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
@@ -215,12 +215,12 @@
   if (Shards == nullptr)
     return;
   Reply.Headers = {};
+  Reply.Memory.reset();
   if (Reply.Body.size() <= MaxUnsortedBytes)
     return;
   GreatestRecords Records(Shards->TopRecords);
   Records.add(Reply.Body);
   Reply.Body = Records.take();
-  Reply.Memory.reset();
 }
 
 void ActiveRequest::end(SubrequestId Id, AttemptResult How) {
--- a/scripts/endless/test_memory.py
+++ b/scripts/endless/test_memory.py
@@ -139,10 +139,10 @@
             self._write_entries()
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def _send_slowly(self, text, end):
+    async def _send_slowly(self, text, at, end):
         """Sends a request that does not end, and waits for the answer to it."""
         while time.monotonic() < end:
-            host, port = self.vm.address().split(":")
+            host, port = self.vm.address(at).split(":")
             reader, writer = await asyncio.open_connection(host, int(port))
             try:
                 for begin in range(0, len(text), PIECE_BYTES):
@@ -175,9 +175,9 @@
             for number in range(REPLICAS_OF_SERVICE * CONNECTIONS_OF_REPLICA)],
             end)
 
-    async def load_callers(self, text):
+    async def load_callers(self, text, port="Front"):
         end = time.monotonic() + LOAD_S
-        await self._load([self._send_slowly(text, end)
+        await self._load([self._send_slowly(text, port, end)
                           for _ in range(SLOW_CALLERS)], end)
 
     async def stop(self):
@@ -221,9 +221,9 @@
         self.assertGreater(busy, SERVICES * REPLICAS_OF_SERVICE *
                            CONNECTIONS_OF_REPLICA // 2)
 
-    def check_callers(self, text):
+    def check_callers(self, text, port="Front"):
         """Many callers send a request that does not end."""
-        self.check_load(OK, FILLER, lambda site: site.load_callers(text))
+        self.check_load(OK, FILLER, lambda site: site.load_callers(text, port))
 
     def check_load(self, head, piece, load):
         with tempfile.TemporaryDirectory(prefix="endless-") as folder:
@@ -267,6 +267,11 @@
         self.check_callers(REQUEST + b"Content-Length: %d\r\n\r\n" %
                            MAX_BODY_BYTES + b"a" * (MAX_BODY_BYTES - 1))
 
+    def test_bodies_at_the_directory(self):
+        self.check_callers(REQUEST + b"Content-Length: %d\r\n\r\n" %
+                           MAX_BODY_BYTES + b"a" * (MAX_BODY_BYTES - 1),
+                           "directory")
+
     def test_heads_of_callers(self):
         self.check_callers(REQUEST + b"a:\r\n" * MANY_FIELDS_OF_CALLER +
                            b"Content-Length: 9\r\n\r\n")
