One budget for the memory of messages; the reads of a session are one step each

Cause: the budgets for answers and for requests stood twice (ReplyMemory and ReplyReservation beside RequestMemory and RequestReservation), readUntil took a pointer to a member, Response::KeptAlive sounded like keep-alive, and read() looked at the budget in two places. Change: http::MemoryBudget and http::MemoryReservation serve both; readMore reads what has arrived or waits for it; the field is Reservation in Response and ReplicaReply; the size of a read stands once. No change of behaviour is meant.

--- a/packages/gateway/src/gateway/app/Gateway.cpp
+++ b/packages/gateway/src/gateway/app/Gateway.cpp
@@ -35,7 +35,7 @@
 using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
 
 constexpr Milliseconds TickInterval{100};
-/// All answers being read may use 1/ReplyMemoryDivisor of the memory together,
+/// All answers of replicas may use 1/ReplyMemoryDivisor of the memory together,
 /// and the body of a single answer 1/ReplyMemoryDivisor of that.
 constexpr std::size_t ReplyMemoryDivisor = 4;
 /// All requests of callers may use 1/RequestMemoryDivisor of the memory.
--- a/packages/gateway/src/gateway/pool/PoolOptions.h
+++ b/packages/gateway/src/gateway/pool/PoolOptions.h
@@ -18,8 +18,8 @@
   Milliseconds StrictIdleMargin{700};
   std::size_t MaxHeaderBytes = std::size_t{64} << 10;
   std::size_t MaxBodyBytes = std::size_t{64} << 20;
-  /// Memory that all answers being read may use together, not counting the
-  /// first ReplyMemory::FreeBytesPerReply of each.
+  /// Memory that all answers may use together until callers have them, not
+  /// counting MemoryReservation::FreeBytes of each.
   std::size_t MaxReplyMemory = std::size_t{64} << 20;
 };
 
--- a/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "core/invariant/Invariant.h"
 #include "http/FieldMemory.h"
+#include "http/ReadSize.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -26,8 +27,6 @@
 constexpr unsigned FirstFinalStatus = 200;
 /// Size of the buffer for unparsed bytes, as a multiple of MaxHeaderBytes.
 constexpr std::size_t BuffersPerHeader = 2;
-/// Size of a read, unless the buffer has grown for a longer head.
-constexpr std::size_t ReadBytes = std::size_t{4} << 10;
 /// Reads from one connection before the others get their turn.
 constexpr unsigned ReadsPerWait = 8;
 constexpr const char *TooLarge = "answer exceeds the memory for answers";
@@ -46,7 +45,7 @@
                                      ConnectionNumber Number,
                                      tcp::endpoint Remote,
                                      const PoolOptions &Options,
-                                     std::shared_ptr<ReplyMemory> Memory)
+                                     std::shared_ptr<http::MemoryBudget> Memory)
     : m_Number(Number), m_Socket(Context), m_ConnectTimer(Context),
       m_Remote(std::move(Remote)), m_Options(Options),
       m_Buffer(BuffersPerHeader * Options.MaxHeaderBytes),
@@ -124,7 +123,7 @@
 
 void ReplicaConnection::beginAnswer() {
   m_Parser.emplace();
-  m_Buffer.reserve(ReadBytes);
+  m_Buffer.reserve(http::ReadBytes);
   m_FieldBytes = 0;
   m_Parser->eager(true);
   m_Parser->skip(m_Current->IsHead);
@@ -151,20 +150,16 @@
 }
 
 void ReplicaConnection::read() {
-  for (unsigned I = 0; I < ReadsPerWait; ++I) {
-    error_code Failed;
+  error_code Failed;
+  for (unsigned I = 0; I < ReadsPerWait && !Failed; ++I) {
     beast_http::read_some(m_Socket, m_Buffer, *m_Parser, Failed);
-    if (Failed == boost::asio::error::would_block)
-      break;
-    if (Failed)
+    if (Failed && Failed != boost::asio::error::would_block)
       return fail(true, Failed.message());
     if (!m_Reservation->tryGrow(answerBytes()))
       return fail(true, TooLarge);
     if (m_Parser->is_done())
       return onAnswer();
   }
-  if (!m_Reservation->tryGrow(answerBytes()))
-    return fail(true, TooLarge);
   awaitBytes();
 }
 
@@ -174,8 +169,9 @@
   return m_Buffer.capacity() + m_FieldBytes + m_Parser->get().body().capacity();
 }
 
-std::unique_ptr<ReplyReservation> ReplicaConnection::makeReservation() {
-  return std::make_unique<ReplyReservation>(m_Memory, [this] { drop(); });
+std::unique_ptr<http::MemoryReservation> ReplicaConnection::makeReservation() {
+  return std::make_unique<http::MemoryReservation>(m_Memory,
+                                                   [this] { drop(); });
 }
 
 void ReplicaConnection::drop() {
@@ -196,7 +192,7 @@
     return succeed(std::move(Reply));
   m_Reservation->reset();
   m_IsReusable = m_IsReusable && IsInterim;
-  // Where another request's answer ends is known only if both have a body.
+  // An answer to HEAD has no body: where the other answer ends is not known.
   if (IsOther && m_Current->IsHead)
     return fail(true, "answer to another request before that to HEAD");
   if (++m_SkippedAnswers > MaxSkippedAnswers || (IsOther && !Reply.KeepsAlive))
@@ -206,12 +202,12 @@
 
 void ReplicaConnection::succeed(adapter::ReplicaReply Reply) {
   bool IsClean = m_IsWritten && m_Buffer.size() == 0;
-  // A late second copy of an answer to HEAD would have a length but no body.
+  // A late second copy of an answer to HEAD would swallow the next answer.
   m_IsReusable =
       m_IsReusable && Reply.KeepsAlive && IsClean && !m_Current->IsHead;
   m_IdleTimeout = Reply.IdleTimeout;
   m_IdleSince = monotonicNow();
-  releaseMemory(Reply);
+  passOnReservation(Reply);
   auto Done = std::move(m_Current->Done);
   m_Current.reset();
   if (!m_IsReusable)
@@ -219,14 +215,14 @@
   Done(std::move(Reply));
 }
 
-void ReplicaConnection::releaseMemory(adapter::ReplicaReply &Reply) {
+void ReplicaConnection::passOnReservation(adapter::ReplicaReply &Reply) {
   m_Parser.reset();
-  if (m_Buffer.capacity() > ReplyMemory::FreeBytesPerReply)
+  if (m_Buffer.capacity() > http::MemoryReservation::FreeBytes)
     m_Buffer.shrink_to_fit();
   if (m_Reservation->bytes() == 0)
     return;
   m_Reservation->retain();
-  Reply.Memory = std::move(m_Reservation);
+  Reply.Reservation = std::move(m_Reservation);
   m_Reservation = makeReservation();
 }
 
--- a/packages/gateway/src/gateway/pool/ReplicaConnection.h
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.h
@@ -6,7 +6,7 @@
 #include "gateway/pool/Exchange.h"
 #include "gateway/pool/PoolOptions.h"
 #include "gateway/pool/RecentIds.h"
-#include "gateway/pool/ReplyReservation.h"
+#include "http/MemoryReservation.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -28,7 +28,7 @@
   ReplicaConnection(boost::asio::io_context &Context, ConnectionNumber Number,
                     boost::asio::ip::tcp::endpoint Remote,
                     const PoolOptions &Options,
-                    std::shared_ptr<ReplyMemory> Memory);
+                    std::shared_ptr<http::MemoryBudget> Memory);
 
   /// @return Whether another request may be sent on it.
   /// @param IsIdempotent Whether that request may be repeated if the replica
@@ -67,7 +67,7 @@
   void onAnswer();
   /// @return The memory that the answer uses so far.
   [[nodiscard]] std::size_t answerBytes();
-  [[nodiscard]] std::unique_ptr<ReplyReservation> makeReservation();
+  [[nodiscard]] std::unique_ptr<http::MemoryReservation> makeReservation();
   /// @brief Frees the answer that is being read, as its memory is needed for
   /// smaller ones; the current request fails soon after.
   void drop();
@@ -75,9 +75,9 @@
   void withdraw();
   void fail(bool WasSent, const std::string &Why);
   void succeed(adapter::ReplicaReply Reply);
-  /// @brief Passes the reservation of the answer on to @p Reply, and frees the
-  /// rest.
-  void releaseMemory(adapter::ReplicaReply &Reply);
+  /// @brief Passes the reservation of the answer on to @p Reply, and frees what
+  /// else the answer needed.
+  void passOnReservation(adapter::ReplicaReply &Reply);
   void close();
 
   ConnectionNumber m_Number;
@@ -87,9 +87,9 @@
   PoolOptions m_Options;
   boost::beast::flat_buffer m_Buffer;
   std::optional<Parser> m_Parser;
-  std::shared_ptr<ReplyMemory> m_Memory;
+  std::shared_ptr<http::MemoryBudget> m_Memory;
   /// Memory of the answer that is being read.
-  std::unique_ptr<ReplyReservation> m_Reservation;
+  std::unique_ptr<http::MemoryReservation> m_Reservation;
   std::size_t m_FieldBytes = 0; ///< Memory of the parsed head; 0 before.
   bool m_IsDropped = false;
   RecentIds m_Carried;
--- a/packages/gateway/src/gateway/pool/ReplicaPool.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaPool.cpp
@@ -17,7 +17,7 @@
 ReplicaPool::ReplicaPool(boost::asio::io_context &Context,
                          boost::asio::ip::tcp::endpoint Remote,
                          PoolOptions Options,
-                         std::shared_ptr<ReplyMemory> Memory)
+                         std::shared_ptr<http::MemoryBudget> Memory)
     : m_Context(Context), m_Remote(std::move(Remote)), m_Options(Options),
       m_Memory(std::move(Memory)) {}
 
--- a/packages/gateway/src/gateway/pool/ReplicaPool.h
+++ b/packages/gateway/src/gateway/pool/ReplicaPool.h
@@ -22,7 +22,7 @@
 
   ReplicaPool(boost::asio::io_context &Context,
               boost::asio::ip::tcp::endpoint Remote, PoolOptions Options,
-              std::shared_ptr<ReplyMemory> Memory);
+              std::shared_ptr<http::MemoryBudget> Memory);
   ReplicaPool(const ReplicaPool &) = delete;
   ReplicaPool &operator=(const ReplicaPool &) = delete;
   ~ReplicaPool();
@@ -79,7 +79,7 @@
   boost::asio::io_context &m_Context;
   boost::asio::ip::tcp::endpoint m_Remote;
   PoolOptions m_Options;
-  std::shared_ptr<ReplyMemory> m_Memory;
+  std::shared_ptr<http::MemoryBudget> m_Memory;
   std::size_t m_Limit = 1;
   std::vector<Slot> m_Open;
   std::deque<Waiting> m_Waiting;
--- a/packages/gateway/src/gateway/pool/fwd.h
+++ b/packages/gateway/src/gateway/pool/fwd.h
@@ -8,7 +8,5 @@
 class RecentIds;
 class ReplicaConnection;
 class ReplicaPool;
-class ReplyMemory;
-class ReplyReservation;
 
 } // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
@@ -202,7 +202,7 @@
   if (Shards == nullptr)
     return;
   Reply.Headers = {};
-  Reply.Memory.reset();
+  Reply.Reservation.reset();
   if (Reply.Body.size() <= MaxUnsortedBytes)
     return;
   GreatestRecords Records(Shards->TopRecords);
--- a/packages/gateway/src/gateway/traffic/ReplicaLinks.h
+++ b/packages/gateway/src/gateway/traffic/ReplicaLinks.h
@@ -18,7 +18,8 @@
 public:
   ReplicaLinks(boost::asio::io_context &Context, PoolOptions Options)
       : m_Context(Context), m_Options(Options),
-        m_Memory(std::make_shared<ReplyMemory>(Options.MaxReplyMemory)) {}
+        m_Memory(std::make_shared<http::MemoryBudget>(Options.MaxReplyMemory)) {
+  }
 
   /// @return The pool of @p Id, or null if it is unknown.
   [[nodiscard]] std::shared_ptr<ReplicaPool> find(const ServerName &Id) const;
@@ -38,7 +39,7 @@
 
   boost::asio::io_context &m_Context;
   PoolOptions m_Options;
-  std::shared_ptr<ReplyMemory> m_Memory;
+  std::shared_ptr<http::MemoryBudget> m_Memory;
   std::unordered_map<ServerName, Link> m_Links;
 };
 
--- a/packages/gateway/src/gateway/traffic/TrafficOptions.h
+++ b/packages/gateway/src/gateway/traffic/TrafficOptions.h
@@ -12,8 +12,7 @@
 struct TrafficOptions {
   std::string CallerAddress;      ///< "ip:port"
   std::size_t MaxCallers = 1'024; ///< Maximum connections from callers.
-  /// Memory that all requests of callers may use together, not counting a few
-  /// KiB of each.
+  /// See http::ListenerOptions::MaxRequestMemory.
   std::size_t MaxRequestMemory = std::size_t{32} << 20;
   PlacementOptions Placement;
   PoolOptions Pool;
--- a/packages/gateway/test/gateway/pool/ReplicaConnectionTest.cpp
+++ b/packages/gateway/test/gateway/pool/ReplicaConnectionTest.cpp
@@ -29,7 +29,7 @@
   std::shared_ptr<ReplicaConnection> connectTo(const tcp::endpoint &Remote) {
     return std::make_shared<ReplicaConnection>(
         Context, ConnectionNumber(1), Remote, Options,
-        std::make_shared<ReplyMemory>(Options.MaxReplyMemory));
+        std::make_shared<http::MemoryBudget>(Options.MaxReplyMemory));
   }
   Exchange makeExchange() {
     return {
--- a/packages/gateway/test/gateway/pool/ReplicaPoolTest.cpp
+++ b/packages/gateway/test/gateway/pool/ReplicaPoolTest.cpp
@@ -18,7 +18,7 @@
   ReplicaPool Pool{Context,
                    http::parseEndpoint(Site.addReplica("s0").Address).value(),
                    {},
-                   std::make_shared<ReplyMemory>(std::size_t{1} << 20)};
+                   std::make_shared<http::MemoryBudget>(std::size_t{1} << 20)};
   std::vector<ConnectionNumber> Used;
   int Served = 0;
 
--- a/packages/http/src/http/ListenerOptions.h
+++ b/packages/http/src/http/ListenerOptions.h
@@ -16,8 +16,8 @@
   Milliseconds IdleTimeout{60'000};  ///< Between requests.
   Milliseconds BodyTimeout{10'000};
   Milliseconds WriteTimeout{10'000};
-  /// Memory that the requests of all connections use together, not counting a
-  /// few KiB of each. A request beyond it gets 503.
+  /// Memory that the requests of all connections use together, not counting
+  /// MemoryReservation::FreeBytes of each. A request beyond it gets 503.
   std::size_t MaxRequestMemory = std::size_t{256} << 20;
   std::size_t MaxConnections = 4096;
   std::size_t MaxConnectionsPerAddress = 1024;
--- a/packages/http/src/http/Response.h
+++ b/packages/http/src/http/Response.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/Header.h"
+#include "http/fwd.h"
 
 #include <memory>
 #include <optional>
@@ -16,8 +17,8 @@
   std::string ContentType = "application/json"; ///< No header if empty.
   std::vector<Header> Headers; ///< Other than Content-Type and Content-Length.
   std::string Body;
-  /// Kept until the response was written, such as a reservation of memory.
-  std::shared_ptr<void> KeptAlive;
+  /// Memory that the response uses, released once it was written; may be null.
+  std::shared_ptr<MemoryReservation> Reservation;
 
   /// @return The value of the first header named @p Name, without regard to
   /// case.
--- a/packages/http/src/http/Session.cpp
+++ b/packages/http/src/http/Session.cpp
@@ -4,6 +4,7 @@
 #include "http/Endpoint.h"
 #include "http/ErrorResponse.h"
 #include "http/FieldMemory.h"
+#include "http/ReadSize.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
@@ -37,8 +38,6 @@
 constexpr std::size_t DiscardBytes = 4096;
 /// The parsed head, and the copy of it that the handler gets.
 constexpr std::size_t CopiesOfHead = 2;
-/// Size of a read, unless the buffer has grown for a longer head.
-constexpr std::size_t ReadBytes = std::size_t{4} << 10;
 constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
 /// @brief Counts a request as in flight during the guard's lifetime.
@@ -173,7 +172,7 @@
   Incoming.header_limit(
       static_cast<std::uint32_t>(m_Table->options().MaxHeaderBytes));
   Incoming.body_limit(m_Table->options().MaxBodyBytes);
-  RequestReservation Held(m_Table->memory());
+  MemoryReservation Held(m_Table->memory());
   error_code Failed = co_await readRequest(Incoming, Held);
   if (Failed)
     co_return co_await reject(Failed);
@@ -191,15 +190,23 @@
 }
 
 awaitable<error_code> Session::readRequest(Parser &Into,
-                                           RequestReservation &Held) {
+                                           MemoryReservation &Held) {
+  m_Buffer.reserve(ReadBytes);
   waitAtMost(m_Table->options().HeaderTimeout);
-  error_code Failed = co_await readUntil(&Parser::is_header_done, Into, Held);
-  if (Failed)
-    co_return Failed;
+  while (!Into.is_header_done()) {
+    error_code Failed = co_await readMore(Into, Held);
+    if (Failed)
+      co_return Failed;
+  }
   waitAtMost(m_Table->options().BodyTimeout);
   co_await sendContinue(Into);
   Into.eager(true);
-  co_return co_await readUntil(&Parser::is_done, Into, Held);
+  while (!Into.is_done()) {
+    error_code Failed = co_await readMore(Into, Held);
+    if (Failed)
+      co_return Failed;
+  }
+  co_return error_code();
 }
 
 std::size_t Session::requestBytes(const Parser &Read) const {
@@ -209,28 +216,21 @@
   return Bytes;
 }
 
-awaitable<error_code> Session::readUntil(bool (Parser::*IsComplete)() const,
-                                         Parser &Into,
-                                         RequestReservation &Held) {
-  m_Buffer.reserve(ReadBytes);
-  while (!(Into.*IsComplete)()) {
-    error_code Failed;
-    beast_http::read_some(m_Socket, m_Buffer, Into, Failed);
-    bool IsWaiting = Failed == boost::asio::error::would_block;
-    if (Failed && !IsWaiting)
-      co_return Failed;
-    if (!Held.tryGrow(requestBytes(Into)))
-      co_return make_error_code(boost::system::errc::not_enough_memory);
-    if (!IsWaiting)
-      continue;
-    if (m_Expired)
-      co_return boost::asio::error::operation_aborted;
-    auto [WaitFailed] = co_await m_Socket.async_wait(
-        boost::asio::socket_base::wait_read, AsTuple);
-    if (WaitFailed)
-      co_return WaitFailed;
-  }
-  co_return error_code();
+awaitable<error_code> Session::readMore(Parser &Into, MemoryReservation &Held) {
+  error_code Failed;
+  beast_http::read_some(m_Socket, m_Buffer, Into, Failed);
+  bool IsWaiting = Failed == boost::asio::error::would_block;
+  if (Failed && !IsWaiting)
+    co_return Failed;
+  if (!Held.tryGrow(requestBytes(Into)))
+    co_return make_error_code(boost::system::errc::not_enough_memory);
+  if (!IsWaiting)
+    co_return error_code();
+  if (m_Expired)
+    co_return boost::asio::error::operation_aborted;
+  auto [WaitFailed] = co_await m_Socket.async_wait(
+      boost::asio::socket_base::wait_read, AsTuple);
+  co_return WaitFailed;
 }
 
 void Session::shrinkBuffer() {
@@ -326,7 +326,8 @@
 
 awaitable<bool> Session::write(Response Answer, bool KeepAlive, bool IsHead) {
   KeepAlive = KeepAlive && !mustClose();
-  std::shared_ptr<void> Kept = std::move(Answer.KeptAlive);
+  std::shared_ptr<MemoryReservation> Reservation =
+      std::move(Answer.Reservation);
   beast_http::response<beast_http::string_body> Outgoing =
       toBeast(std::move(Answer), KeepAlive);
   if (IsHead)
--- a/packages/http/src/http/Session.h
+++ b/packages/http/src/http/Session.h
@@ -2,8 +2,8 @@
 
 #include "core/time/Time.h"
 #include "http/CallerConnection.h"
+#include "http/MemoryReservation.h"
 #include "http/Message.h"
-#include "http/RequestReservation.h"
 #include "http/SessionTable.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -54,14 +54,14 @@
   void waitForever();
   boost::asio::awaitable<bool> awaitRequest();
   boost::asio::awaitable<bool> serveRequest();
+  /// @param Held Grows with the request.
   boost::asio::awaitable<boost::system::error_code>
-  readRequest(Parser &Into, RequestReservation &Held);
+  readRequest(Parser &Into, MemoryReservation &Held);
+  /// @brief Reads what has arrived, or waits for it.
+  boost::asio::awaitable<boost::system::error_code>
+  readMore(Parser &Into, MemoryReservation &Held);
   /// @return The memory that a request uses so far.
   [[nodiscard]] std::size_t requestBytes(const Parser &Read) const;
-  /// @brief Reads on until the head, or the whole request, is complete.
-  boost::asio::awaitable<boost::system::error_code>
-  readUntil(bool (Parser::*IsComplete)() const, Parser &Into,
-            RequestReservation &Held);
   /// @brief Frees a buffer that a long request left behind.
   void shrinkBuffer();
   boost::asio::awaitable<void> sendContinue(const Parser &Headers);
--- a/packages/http/src/http/SessionTable.cpp
+++ b/packages/http/src/http/SessionTable.cpp
@@ -6,7 +6,7 @@
 
 SessionTable::SessionTable(ListenerOptions Options, Handler Handle)
     : m_Options(std::move(Options)), m_Handler(std::move(Handle)),
-      m_Memory(m_Options.MaxRequestMemory) {}
+      m_Memory(std::make_shared<MemoryBudget>(m_Options.MaxRequestMemory)) {}
 
 bool SessionTable::hasRoomFor(const std::string &Ip) const {
   if (m_Sessions.size() >= m_Options.MaxConnections)
--- a/packages/http/src/http/SessionTable.h
+++ b/packages/http/src/http/SessionTable.h
@@ -2,9 +2,10 @@
 
 #include "core/time/Time.h"
 #include "http/Listener.h"
-#include "http/RequestMemory.h"
+#include "http/MemoryBudget.h"
 
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -27,7 +28,10 @@
   /// @return Whether one more connection from @p Ip is within the limits.
   [[nodiscard]] bool hasRoomFor(const std::string &Ip) const;
 
-  [[nodiscard]] RequestMemory &memory() { return m_Memory; }
+  /// @return The memory that the requests of all sessions share.
+  [[nodiscard]] const std::shared_ptr<MemoryBudget> &memory() const {
+    return m_Memory;
+  }
   /// @brief The counters, which the sessions update.
   [[nodiscard]] ListenerStats &counters() { return m_Stats; }
   void add(Session &Added);
@@ -46,7 +50,7 @@
 private:
   ListenerOptions m_Options;
   Handler m_Handler;
-  RequestMemory m_Memory;
+  std::shared_ptr<MemoryBudget> m_Memory;
   ListenerStats m_Stats;
   bool m_Draining = false;
   std::unordered_set<Session *> m_Sessions;
--- a/packages/http/src/http/fwd.h
+++ b/packages/http/src/http/fwd.h
@@ -6,6 +6,8 @@
 class Client;
 class Connection;
 class Listener;
+class MemoryBudget;
+class MemoryReservation;
 struct ClientOptions;
 struct ConnectionOptions;
 struct Header;
