--- a/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "core/invariant/Invariant.h"
 #include "http/FieldMemory.h"
+#include "http/QuietSocket.h"
 #include "http/ReadSize.h"
 
 #include <boost/asio/buffer.hpp>
@@ -9,10 +10,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
-#include <sys/socket.h>
-
-#include <cerrno>
-
 namespace carawaypond::gateway {
 
 namespace beast_http = boost::beast::http;
@@ -31,14 +28,6 @@
 constexpr unsigned ReadsPerWait = 8;
 constexpr const char *TooLarge = "answer exceeds the memory for answers";
 
-/// @return Whether the socket is open and has nothing to read: neither data nor
-/// an end of file.
-bool isQuiet(int Socket) {
-  char Byte = 0;
-  ssize_t Got = ::recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 } // namespace
 
 ReplicaConnection::ReplicaConnection(boost::asio::io_context &Context,
@@ -59,7 +48,7 @@
   Milliseconds Timeout = m_IdleTimeout.value_or(m_Options.DefaultIdleTimeout);
   if (Now - m_IdleSince >= Timeout - Margin)
     return false;
-  return isQuiet(m_Socket.native_handle());
+  return http::isQuiet(m_Socket.native_handle());
 }
 
 void ReplicaConnection::start(Exchange Request) {
--- a/packages/gateway/src/gateway/pool/ReplicaPool.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaPool.cpp
@@ -28,7 +28,7 @@
       Each.Connection->cancel();
 }
 
-std::shared_ptr<ReplicaConnection> ReplicaPool::findIdle(const Exchange &For) {
+std::shared_ptr<ReplicaConnection> ReplicaPool::takeIdle(const Exchange &For) {
   TimePoint Now = monotonicNow();
   for (std::size_t I = m_Open.size(); I > 0; --I) {
     Slot &Each = m_Open[I - 1];
@@ -56,7 +56,7 @@
 }
 
 std::shared_ptr<ReplicaConnection> ReplicaPool::acquire(const Exchange &For) {
-  if (auto Idle = findIdle(For))
+  if (auto Idle = takeIdle(For))
     return Idle;
   if (m_Open.size() >= m_Limit)
     closeOneIdle();
--- a/packages/gateway/src/gateway/pool/ReplicaPool.h
+++ b/packages/gateway/src/gateway/pool/ReplicaPool.h
@@ -64,8 +64,11 @@
   /// @return An idle or a new connection that may carry @p For; null if it must
   /// wait.
   [[nodiscard]] std::shared_ptr<ReplicaConnection> acquire(const Exchange &For);
+  /// @brief Closes the idle connections that can no longer be reused, up to the
+  /// first one that may carry @p For.
+  /// @return That connection, or null.
   [[nodiscard]] std::shared_ptr<ReplicaConnection>
-  findIdle(const Exchange &For);
+  takeIdle(const Exchange &For);
   /// @brief Closes one idle connection, if there is one.
   void closeOneIdle();
   void start(const std::shared_ptr<ReplicaConnection> &On, Ticket Id,
--- a/packages/http/src/http/ClientStream.cpp
+++ b/packages/http/src/http/ClientStream.cpp
@@ -2,6 +2,7 @@
 
 #include "core/invariant/Invariant.h"
 #include "http/Endpoint.h"
+#include "http/QuietSocket.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -9,8 +10,6 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <sys/socket.h>
-
 namespace carawaypond::http::internal {
 
 namespace beast_http = boost::beast::http;
@@ -79,14 +78,6 @@
   return isLoss(Cause) ? ErrorCode::ConnectionLost : ErrorCode::Malformed;
 }
 
-/// @return Whether the socket has nothing to read: neither data nor the end of
-/// the stream.
-bool isQuiet(int Socket) {
-  char Byte = 0;
-  ssize_t Got = ::recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 } // namespace
 
 ClientStream::ClientStream(boost::asio::any_io_executor Executor,
--- a/packages/http/src/http/Session.cpp
+++ b/packages/http/src/http/Session.cpp
@@ -4,6 +4,7 @@
 #include "http/Endpoint.h"
 #include "http/ErrorResponse.h"
 #include "http/FieldMemory.h"
+#include "http/QuietSocket.h"
 #include "http/ReadSize.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -17,10 +18,6 @@
 #include <exception>
 #include <optional>
 
-#include <sys/socket.h>
-
-#include <cerrno>
-
 namespace carawaypond::http::internal {
 
 namespace beast_http = boost::beast::http;
@@ -90,13 +87,6 @@
   return m_Socket.available(Failed) > 0 && !Failed;
 }
 
-bool Session::isQuiet() {
-  char Byte = 0;
-  auto Got = ::recv(m_Socket.native_handle(), &Byte, sizeof(Byte),
-                    MSG_PEEK | MSG_DONTWAIT);
-  return Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 bool Session::mustClose() const {
   bool Asked = m_CloseWhenIdle || m_Table->isDraining();
   return Asked && m_Buffer.size() == 0 && !hasUnreadBytes();
@@ -156,7 +146,8 @@
     co_await m_Socket.async_wait(boost::asio::socket_base::wait_read, AsTuple);
     m_Idle = false;
     // The wait may report bytes that were read before it started.
-    IsWaiting = !m_Expired && !m_CloseWhenIdle && isQuiet();
+    IsWaiting =
+        !m_Expired && !m_CloseWhenIdle && isQuiet(m_Socket.native_handle());
   }
   if (hasUnreadBytes())
     co_return true;
@@ -296,21 +287,16 @@
 
 void Session::watchCaller(const std::shared_ptr<CallerConnection> &Caller) {
   m_IsCallerWaitPending = true;
-  m_Socket.async_wait(
-      boost::asio::socket_base::wait_read,
-      [Self = shared_from_this(), Caller](error_code Failed) {
-        Self->m_IsCallerWaitPending = false;
-        if (Failed || Self->m_Watched != Caller)
-          return;
-        char Byte = 0;
-        auto Got = ::recv(Self->m_Socket.native_handle(), &Byte, sizeof(Byte),
-                          MSG_PEEK | MSG_DONTWAIT);
-        bool IsQuiet = Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-        if (IsQuiet)
-          return Self->watchCaller(Caller);
-        if (Got <= 0)
-          Caller->leave();
-      });
+  m_Socket.async_wait(boost::asio::socket_base::wait_read,
+                      [Self = shared_from_this(), Caller](error_code Failed) {
+                        Self->m_IsCallerWaitPending = false;
+                        if (Failed || Self->m_Watched != Caller)
+                          return;
+                        if (isQuiet(Self->m_Socket.native_handle()))
+                          return Self->watchCaller(Caller);
+                        if (!Self->hasUnreadBytes())
+                          Caller->leave();
+                      });
 }
 
 void Session::stopWatchingCaller() {
--- a/packages/http/src/http/Session.h
+++ b/packages/http/src/http/Session.h
@@ -44,8 +44,6 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   [[nodiscard]] bool hasUnreadBytes() const;
-  /// @return Whether the connection is open and has nothing to read.
-  [[nodiscard]] bool isQuiet();
   /// @return Whether the connection is to be closed and no byte of a further
   /// request has arrived.
   [[nodiscard]] bool mustClose() const;
--- a/scripts/endless/test_memory.py
+++ b/scripts/endless/test_memory.py
@@ -23,7 +23,7 @@
 REPLICAS_OF_SERVICE = 2
 CONNECTIONS_OF_REPLICA = 16  # the most that one VM opens to one replica
 CONNECTIONS = SERVICES * REPLICAS_OF_SERVICE * CONNECTIONS_OF_REPLICA
-ESTABLISHED = "01"  # in /proc/PID/net/tcp
+ESTABLISHED = "01"  # in /proc/net/tcp
 SOUND_CALLERS = 4
 SLOW_CALLERS = 1_000
 STORE_PIECE_BYTES = 1 << 20
@@ -55,11 +55,12 @@
     return int(line.split()[1]) / 1024
 
 
-def established(pid, addresses):
-    """Returns how many connections to these addresses a process has open."""
+def established(addresses):
+    """Returns how many connections to these addresses are open on this machine;
+    only the gateway opens any."""
     wanted = {"%s:%04X" % (socket.inet_aton(host)[::-1].hex().upper(), int(port))
               for host, port in (each.split(":") for each in addresses)}
-    with open(f"/proc/{pid}/net/tcp", encoding="ascii") as table:
+    with open("/proc/net/tcp", encoding="ascii") as table:
         rows = [line.split() for line in table]
     return sum(1 for row in rows if row[2] in wanted and row[3] == ESTABLISHED)
 
@@ -184,8 +185,7 @@
 
     async def _count_busy(self):
         await self.gate.opened.wait()
-        self.busy = established(self.vm.child.pid,
-                                [each.address for each in self.endless])
+        self.busy = established([each.address for each in self.endless])
 
     async def load_replicas(self):
         end = time.monotonic() + LOAD_S
