--- a/review/standins2/site.py
+++ b/review/standins2/site.py
@@ -14,7 +14,7 @@
 from .store import Store
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-PROGRAM = os.environ.get("CASE_PROGRAM") or os.path.join(ROOT, "target/packages/daemon/carawaypond")
+PROGRAM = os.path.join(ROOT, "target/packages/daemon/carawaypond")
 HOST = "h.case.example"
 PORTS = {"Front": 8104, "Ready": 8108, "Control": 8106, "directory": 8100}
 BOUNDS = {"SeedLagS": 3, "ReuseAfterS": 2, "StabilityWindowMs": 4000,
