--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
 python3 - <<'CHECK'
 import ast
 import glob
-for path in glob.glob("standins2/*.py") + glob.glob("[0-9]*/case.py"):
+for path in glob.glob("standins2/*.py") + glob.glob("[0-9]*/case.py") + glob.glob("tried-2/*.py"):
     with open(path, encoding="utf-8") as file:
         ast.parse(file.read(), path)
 CHECK
