--- a/packages/gateway/test/gateway/FakeSite.cpp
+++ b/packages/gateway/test/gateway/FakeSite.cpp
@@ -82,6 +82,19 @@
     Each->State = IsDown ? EndpointState::Refusing : EndpointState::Open;
 }
 
+void FakeSite::takeCopy() {
+  std::lock_guard Locked(m_Mutex);
+  m_Copy = m_Objects;
+  m_CopyRevision = m_Revision;
+}
+
+void FakeSite::restoreCopy(std::uint64_t GivenOut) {
+  std::lock_guard Locked(m_Mutex);
+  m_Objects = m_Copy;
+  m_Revision = m_CopyRevision + GivenOut;
+  ++m_Era;
+}
+
 void FakeSite::setHoldsWrites(bool Holds) {
   for (const auto &Each : m_StoreEndpoints)
     Each->State = Holds ? EndpointState::HoldingWrites : EndpointState::Open;
@@ -212,6 +225,14 @@
 
 awaitable<http::Response> FakeSite::serve(http::Request Asked,
                                           const StoreEndpoint &At) {
+  http::Response Answer = co_await execute(std::move(Asked), At);
+  Answer.Headers.push_back(
+      {.Name = "Store-Era", .Value = std::to_string(m_Era)});
+  co_return Answer;
+}
+
+awaitable<http::Response> FakeSite::execute(http::Request Asked,
+                                            const StoreEndpoint &At) {
   http::Response Answer;
   bool IsWrite = Asked.Method == "POST" || Asked.Method == "PUT";
   co_await awaitOpen(At, IsWrite);
@@ -248,22 +269,35 @@
     Answer.Body = list(Kind).dump();
     co_return Answer;
   }
+  co_return co_await watch(std::move(Asked), std::move(Kind), At);
+}
+
+awaitable<http::Response> FakeSite::watch(http::Request Asked, std::string Kind,
+                                          const StoreEndpoint &At) {
+  http::Response Answer;
+  std::uint64_t Since = std::stoull(*Asked.queryParameter("Watch"));
+  std::uint64_t Era = m_Era;
   TimePoint Deadline =
       monotonicNow() +
       Milliseconds(std::stoi(Asked.queryParameter("WaitMs").value_or("0")));
-  json Told = changes(Kind, std::stoull(*Since));
+  json Told = changes(Kind, Since);
   boost::asio::steady_timer Pause(m_Context);
   auto IsServing = [&At] {
     return At.State == EndpointState::Open ||
            At.State == EndpointState::HoldingWrites;
   };
-  while (Told["events"].empty() && monotonicNow() < Deadline && IsServing()) {
+  while (Told["events"].empty() && monotonicNow() < Deadline && IsServing() &&
+         m_Era == Era) {
     Pause.expires_after(Milliseconds(5));
     co_await Pause.async_wait(AsTuple);
-    Told = changes(Kind, std::stoull(*Since));
+    Told = changes(Kind, Since);
   }
   co_await awaitOpen(At);
-  Answer.Body = Told.dump();
+  bool IsCut = m_Era != Era;
+  bool IsUnknown = Told["AsOf"].get<std::uint64_t>() < Since;
+  Answer.Status = IsCut ? 503 : IsUnknown ? 410 : 200;
+  if (Answer.Status == 200)
+    Answer.Body = Told.dump();
   co_return Answer;
 }
 
--- a/packages/gateway/test/gateway/FakeSite.h
+++ b/packages/gateway/test/gateway/FakeSite.h
@@ -80,6 +80,13 @@
   void putConfig(int Version, nlohmann::json Routes);
   /// @brief Makes the store refuse all calls, or answer them again.
   void setStoreDown(bool IsDown);
+  /// @brief Takes a copy of what the store holds, for restoreCopy().
+  void takeCopy();
+  /// @brief Makes the store go back to the copy, with the copy's revision and
+  /// the next era, and cuts the watches.
+  /// @param GivenOut Number of revisions that the store gives out again at once, as
+  /// other writers are busy.
+  void restoreCopy(std::uint64_t GivenOut = 0);
   /// @brief Makes the store carry out POST and PUT only once this ends. Other
   /// calls are answered.
   void setHoldsWrites(bool Holds);
@@ -90,10 +97,18 @@
     std::uint64_t Revision = 0;
     bool IsDeleted = false;
   };
+  using Objects = std::map<std::string, std::map<std::string, Stored>>;
 
   std::unique_ptr<http::Listener> listen(http::Handler Answer);
   boost::asio::awaitable<http::Response> serve(http::Request Asked,
                                                const StoreEndpoint &At);
+  /// @return The store's answer to a call, without its era.
+  boost::asio::awaitable<http::Response> execute(http::Request Asked,
+                                                 const StoreEndpoint &At);
+  /// @return The answer to a watch.
+  boost::asio::awaitable<http::Response> watch(http::Request Asked,
+                                               std::string Kind,
+                                               const StoreEndpoint &At);
   /// @return The answer to a write, which may have a condition.
   http::Response write(const http::Request &Asked, const std::string &Kind);
   boost::asio::awaitable<void> awaitOpen(const StoreEndpoint &At,
@@ -106,8 +121,11 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       m_Work;
   std::mutex m_Mutex;
-  std::map<std::string, std::map<std::string, Stored>> m_Objects;
+  Objects m_Objects;
   std::uint64_t m_Revision = 1;
+  Objects m_Copy;
+  std::uint64_t m_CopyRevision = 1;
+  std::atomic<std::uint64_t> m_Era = 1;
   std::vector<std::unique_ptr<StoreEndpoint>> m_StoreEndpoints;
   std::vector<std::unique_ptr<Replica>> m_Replicas;
   std::thread m_Thread;
