--- a/packages/coordination/proof/ReplicaEvidenceProof.cpp
+++ b/packages/coordination/proof/ReplicaEvidenceProof.cpp
@@ -15,7 +15,9 @@
 constexpr int CalmSteps = 200;
 
 bool uses(const ReplicaModel::Vm &Vm, const ReplicaModel::Server &Server) {
-  return Vm.Replicas.entries().contains(Server.Id);
+  auto Found = Vm.Replicas.entries().find(Server.Id);
+  return Found != Vm.Replicas.entries().end() &&
+         Found->second.Record.State == ReplicaState::Serving;
 }
 
 void checkLeft(const ReplicaModel &Model, const ReplicaModel::Vm &Vm,
@@ -64,8 +66,8 @@
   }
 }
 
-void runFleet(ProofContext &Context, std::uint32_t Seed) {
-  ReplicaModel Model(Seed);
+void runFleet(ProofContext &Context, std::uint32_t Seed, bool WithRestores) {
+  ReplicaModel Model(Seed, WithRestores);
   std::set<ServerName> UsedByAll;
   for (int I = 0; I < Steps + CalmSteps; ++I) {
     Model.step(I < Steps);
@@ -87,7 +89,13 @@
 
 void proveReplicas(ProofContext &Context) {
   Context.forAll("VMs know the replicas by evidence", [&] {
-    runFleet(Context, *rc::gen::arbitrary<std::uint32_t>());
+    runFleet(Context, *rc::gen::arbitrary<std::uint32_t>(), false);
+  });
+}
+
+void proveRestores(ProofContext &Context) {
+  Context.forAll("VMs know the replicas although the store goes back", [&] {
+    runFleet(Context, *rc::gen::arbitrary<std::uint32_t>(), true);
   });
 }
 
@@ -109,6 +117,13 @@
      .Mutation = internal::Mutant::ShortListWins,
      .Run = proveReplicas});
 
+const bool RegisteredRestores = registerProof(
+    {.Name = "replica-restored-store",
+     .Property = "A store that comes back from an older copy hides no replica "
+                 "and brings none back.",
+     .Mutation = internal::Mutant::TrustCopies,
+     .Run = proveRestores});
+
 } // namespace
 
 } // namespace carawaypond::proof
--- a/packages/coordination/src/coordination/evacuation/EvacuationRegistry.cpp
+++ b/packages/coordination/src/coordination/evacuation/EvacuationRegistry.cpp
@@ -34,6 +34,7 @@
 void EvacuationRegistry::putAsOf(const EvacuatedCentre &Stored,
                                  StoreRevision AsOf) {
   Evidence &Known = evidence(Stored.Centre);
+  m_Held.erase(Stored.Centre);
   bool WasPresent = Known.isPresent();
   Known.Written = std::max(Known.Written, Stored.Revision);
   Known.PresentAsOf = std::max({Known.PresentAsOf, Stored.Revision, AsOf});
@@ -42,12 +43,14 @@
 
 void EvacuationRegistry::remove(const EvacuatedCentre &Removed) {
   Evidence &Known = evidence(Removed.Centre);
+  m_Held.erase(Removed.Centre);
   bool WasPresent = Known.isPresent();
   Known.RemovedAt = std::max(Known.RemovedAt, Removed.Revision);
   note(Removed.Centre, WasPresent, Known, Removed.Revision);
 }
 
 void EvacuationRegistry::merge(const EvacuationList &List) {
+  bool IsNewEra = m_AsOf.era() < List.AsOf.era();
   std::set<DataCentre> Listed;
   for (const EvacuatedCentre &Each : List.Centres) {
     Listed.insert(Each.Centre);
@@ -56,13 +59,28 @@
   for (auto &[Centre, Known] : m_Centres) {
     if (Listed.contains(Centre))
       continue;
-    bool WasPresent = Known.isPresent();
-    Known.AbsentAsOf = std::max(Known.AbsentAsOf, List.AsOf);
-    note(Centre, WasPresent, Known, List.AsOf);
+    if (IsNewEra && Known.isPresent())
+      m_Held.insert(Centre);
+    if (!m_Held.contains(Centre))
+      setAbsent(Centre, Known, List.AsOf);
   }
   advance(List.AsOf);
 }
 
+void EvacuationRegistry::setAbsent(const DataCentre &Centre, Evidence &Known,
+                                   StoreRevision AsOf) {
+  bool WasPresent = Known.isPresent();
+  Known.AbsentAsOf = std::max(Known.AbsentAsOf, AsOf);
+  note(Centre, WasPresent, Known, AsOf);
+}
+
+void EvacuationRegistry::settle() {
+  for (const DataCentre &Each : std::exchange(m_Held, {}))
+    if (auto Found = m_Centres.find(Each); Found != m_Centres.end())
+      setAbsent(Each, Found->second, m_AsOf);
+  prune();
+}
+
 void EvacuationRegistry::advance(StoreRevision Revision) {
   m_AsOf = std::max(m_AsOf, Revision);
   prune();
--- a/packages/coordination/src/coordination/evacuation/EvacuationRegistry.h
+++ b/packages/coordination/src/coordination/evacuation/EvacuationRegistry.h
@@ -13,12 +13,15 @@
 /// @brief Tracks which data centres are evacuated.
 ///
 /// Handles reports of the store and of other VMs that arrive late, repeatedly
-/// or in another order. The store's history is linear, so evidence of a greater
-/// revision wins, whichever VM read it. Each report only raises revisions, so
-/// merging is commutative, associative and idempotent.
+/// or in another order. Within an era the store's history is linear, and a
+/// later era follows it, so evidence of a greater revision wins, whichever VM
+/// read it. Each report only raises revisions, so merging is commutative,
+/// associative and idempotent.
 ///
 /// Evacuations do not expire: during an outage of the store, or on a VM that is
-/// partitioned off, the last known ones stay in force.
+/// partitioned off, the last known ones stay in force. So do those that a store
+/// lacks which came back from an older copy, until settle(): the operator
+/// writes them again.
 class EvacuationRegistry {
 public:
   /// @return The data centres whose replicas get no requests.
@@ -37,6 +40,9 @@
   void merge(const EvacuationList &List);
   /// @brief Records that all changes up to @p Revision have been applied.
   void advance(StoreRevision Revision);
+  /// @brief Ends the evacuations that the store has lacked since it came back
+  /// from a copy.
+  void settle();
   /// @return What changed since the last call.
   std::vector<EvacuationChange> takeChanges();
 
@@ -58,6 +64,7 @@
   /// @return The evidence about @p Centre, which all lists up to m_AsOf lacked
   /// if it is new.
   Evidence &evidence(const DataCentre &Centre);
+  void setAbsent(const DataCentre &Centre, Evidence &Known, StoreRevision AsOf);
   void putAsOf(const EvacuatedCentre &Stored, StoreRevision AsOf);
   void note(const DataCentre &Centre, bool WasPresent, const Evidence &Now,
             StoreRevision Revision);
@@ -65,6 +72,8 @@
   void prune();
 
   std::map<DataCentre, Evidence> m_Centres;
+  /// Evacuated ones that the first list of the era lacked.
+  std::set<DataCentre> m_Held;
   StoreRevision m_AsOf;
   std::vector<EvacuationChange> m_Changes;
 };
--- a/packages/coordination/src/coordination/fleet/VmTracker.cpp
+++ b/packages/coordination/src/coordination/fleet/VmTracker.cpp
@@ -152,14 +152,18 @@
 
 bool VmTracker::isLaterRecord(const Entry &Known, Incarnation Other,
                               StoreRevision Revision, TimePoint Now) const {
-  if (Revision > StoreRevision(0) && Known.Revision > StoreRevision(0))
+  // A store that came back from a copy holds records of earlier incarnations.
+  bool IsStored = Revision.number() > 0;
+  bool WasStored = Known.Revision.number() > 0;
+  bool IsSameEra = Revision.era() == Known.Revision.era();
+  if (IsStored && WasStored && IsSameEra)
     return Revision > Known.Revision;
   // A VM that is heard may not have written its record yet.
   if (!isSilent(Known, Now))
     return false;
   bool IsDatedLater = Other > Known.Vm.Record.IncarnationNumber;
   return (IsDatedLater && !Known.hasReplaced(Other)) ||
-         Revision > StoreRevision(0);
+         (IsStored && !WasStored);
 }
 
 void VmTracker::replace(Entry &Known, LoadedVm Later, TimePoint Now) {
--- a/packages/coordination/src/coordination/internal/Mutant.h
+++ b/packages/coordination/src/coordination/internal/Mutant.h
@@ -25,6 +25,7 @@
   TrustPresumptions,   ///< Takes what another VM presumes for what it knows.
   ForgetRemovals,      ///< Lets other VMs revive a replica that was removed.
   ShortListWins,       ///< Drops at once what a list lacks after an outage.
+  TrustCopies,         ///< Uses a gone replica that a copy of the store holds.
 };
 
 #ifdef CARAWAYPOND_MUTANTS
--- a/packages/coordination/src/coordination/quota/AllocatorLease.cpp
+++ b/packages/coordination/src/coordination/quota/AllocatorLease.cpp
@@ -5,6 +5,13 @@
 
 namespace carawaypond {
 
+namespace {
+
+/// More terms than can begin in the seconds that a restored store has lost.
+constexpr std::uint64_t MaxLostTerms = 1'000;
+
+} // namespace
+
 AllocatorLease::AllocatorLease(AllocatorRecord Self,
                                AllocatorLeaseOptions Options, BootTime Now)
     : m_Self(std::move(Self)), m_Options(Options), m_MissingSince(Now),
@@ -93,8 +100,10 @@
 
 WriteLease AllocatorLease::renewal(BootTime Now) const {
   WriteLease Lease{.Record = *m_Known, .Revision = m_Revision};
+  Lease.Record.Era = m_Revision.era();
   ++Lease.Record.Renewal;
-  Lease.Record.IsSettled = m_Known->IsSettled || mayGrant(Now);
+  Lease.Record.IsSettled =
+      !mustRegain() && (m_Known->IsSettled || mayGrant(Now));
   return Lease;
 }
 
@@ -153,8 +162,11 @@
 }
 
 bool AllocatorLease::isStoredUnused() const {
+  // A store that names no era never goes back.
   if (!m_Stored)
-    return !m_Known;
+    return !m_Known && m_Era == StoreEra(0);
+  if (!m_Stored->isOfThisEra())
+    return false;
   const AllocatorRecord &Before = m_Stored->Record;
   // Its holder may have told of the release while it could not write it.
   bool IsToldReleased =
@@ -167,7 +179,11 @@
   WriteLease Lease{.Record = m_Self, .Revision = {}};
   Lease.Record.Term = 1 + std::max(m_Stored ? m_Stored->Record.Term : 0,
                                    m_Known ? m_Known->Term : 0);
+  bool MayHaveLost = m_Stored ? !m_Stored->isOfThisEra() : m_Known.has_value();
+  if (MayHaveLost && m_Era > StoreEra(0))
+    Lease.Record.Term += MaxLostTerms;
   Lease.Record.IsSettled = isStoredUnused();
+  Lease.Record.Era = m_Era;
   if (m_Stored)
     Lease.Revision = m_Stored->Revision;
   return Lease;
@@ -185,7 +201,9 @@
   // one to be free.
   if (!IsInUse)
     return std::nullopt;
-  return WriteLease{.Record = *m_Known, .Revision = m_Revision};
+  WriteLease Lease{.Record = *m_Known, .Revision = m_Revision};
+  Lease.Record.Era = m_Revision.era();
+  return Lease;
 }
 
 void AllocatorLease::startHolding(AllocatorRecord Record, BootTime GrantsFrom) {
@@ -193,6 +211,7 @@
   m_IsHolder = true;
   m_GrantsFrom = GrantsFrom;
   m_ProvedAt = m_CalledAt;
+  m_ProvedEra = m_Era;
   m_MissingSince.reset();
   m_Stored.reset();
   m_IsAbsent = false;
@@ -200,7 +219,7 @@
 
 void AllocatorLease::recordStored(std::optional<StoredAllocator> Found,
                                   BootTime Now) {
-  std::uint64_t Revision = Found ? Found->Revision : 0;
+  StoreRevision Revision = Found ? Found->Revision : StoreRevision();
   if (Revision != m_ReadRevision)
     m_ReadRevisionSince = Now;
   m_ReadRevision = Revision;
@@ -208,10 +227,13 @@
   m_Stored = std::move(Found);
 }
 
-void AllocatorLease::onRead(std::optional<StoredAllocator> Found,
+void AllocatorLease::onRead(std::optional<StoredAllocator> Found, StoreEra Era,
                             BootTime Now) {
   if (!endCall())
     return forgetStored();
+  if (Era < m_Era)
+    return forgetStored();
+  m_Era = Era;
   recordStored(std::move(Found), Now);
   if (!m_Stored)
     return stopHolding();
@@ -226,6 +248,11 @@
     m_Revision = m_Stored->Revision;
     m_IsRevisionKnown = true;
   }
+  if (IsOwn && m_IsHolder && !m_Stored->isOfThisEra()) {
+    // Only a write shows that no later lease was lost; it is due at once.
+    m_CalledAt = Now - m_Options.RenewInterval;
+    return;
+  }
   if (IsOwn && m_IsHolder) {
     m_ProvedAt = m_CalledAt;
     m_Known = Record;
@@ -245,20 +272,26 @@
   }
 }
 
-void AllocatorLease::onWritten(std::uint64_t Revision, BootTime Now) {
+void AllocatorLease::prove(AllocatorRecord Written, BootTime Now) {
+  if (mustRegain())
+    m_GrantsFrom = Now + m_Options.LeaseTime;
+  m_Known = std::move(Written);
+  m_ProvedAt = m_CalledAt;
+  m_ProvedEra = m_Era;
+}
+
+void AllocatorLease::onWritten(StoreRevision Revision, BootTime Now) {
   if (!endCall())
     return forgetStored();
+  m_Era = std::max(m_Era, Revision.era());
   if (!m_OutstandingWrite)
     return;
   AllocatorRecord Written =
       std::exchange(m_OutstandingWrite, std::nullopt)->Record;
   m_Revision = Revision;
   m_IsRevisionKnown = true;
-  if (m_IsHolder) {
-    m_ProvedAt = m_CalledAt;
-    m_Known = std::move(Written);
-    return;
-  }
+  if (m_IsHolder)
+    return prove(std::move(Written), Now);
   m_IsFirst = !m_Stored && !m_Known;
   BootTime GrantsFrom = Written.IsSettled ? Now : Now + m_Options.LeaseTime;
   startHolding(std::move(Written), GrantsFrom);
--- a/packages/coordination/src/coordination/quota/AllocatorLease.h
+++ b/packages/coordination/src/coordination/quota/AllocatorLease.h
@@ -37,7 +37,12 @@
 /// @brief The lease as the store holds it.
 struct StoredAllocator {
   AllocatorRecord Record;
-  std::uint64_t Revision = 0;
+  StoreRevision Revision;
+
+  /// @return Whether the store has lost no lease since.
+  [[nodiscard]] bool isOfThisEra() const {
+    return Record.Era == Revision.era();
+  }
 };
 
 /// @brief Read the lease from the store.
@@ -46,7 +51,7 @@
 /// there is none.
 struct WriteLease {
   AllocatorRecord Record;
-  std::optional<std::uint64_t> Revision;
+  std::optional<StoreRevision> Revision;
 };
 
 using LeaseAction = std::variant<ReadLease, WriteLease>;
@@ -61,6 +66,12 @@
 /// LeaseTime. A holder that the store turns away releases the lease by telling
 /// the VMs.
 ///
+/// A store that comes back from an older copy has lost leases, and may hold one
+/// that was replaced or released. What it holds from an earlier era therefore
+/// shows nothing: a VM that replaces such a lease, creates one, or goes on with
+/// its own waits for LeaseTime, and a new term leaves room for those that were
+/// lost.
+///
 /// A VM is in one of these states:
 /// - An allocator is known and was reached, or nothing was asked of it: no
 ///   calls to the store (missingSince() is empty, isHolder() is false).
@@ -116,9 +127,10 @@
   /// of @p Term, whose process has therefore ended.
   void onAllocatorEnded(std::uint64_t Term, BootTime Now);
   /// @param Found What the store holds, or nothing if it holds no lease.
-  void onRead(std::optional<StoredAllocator> Found, BootTime Now);
+  /// @param Era Of the store that has answered.
+  void onRead(std::optional<StoredAllocator> Found, StoreEra Era, BootTime Now);
   /// @param Revision Of the lease that was written.
-  void onWritten(std::uint64_t Revision, BootTime Now);
+  void onWritten(StoreRevision Revision, BootTime Now);
   /// @brief A call to the store has failed, or may have. The lease is read
   /// again before anything else.
   void onCallFailed(BootTime Now);
@@ -126,6 +138,8 @@
 private:
   void updateKnown(const AllocatorRecord &Newest, BootTime Now);
   void stopHolding() { m_IsHolder = false; }
+  /// @return Whether the store may have lost a lease that replaced this one.
+  [[nodiscard]] bool mustRegain() const { return m_ProvedEra != m_Era; }
   [[nodiscard]] bool isOwn(const AllocatorRecord &Record) const;
   /// @return Whether the lease that was found can't be in use any more.
   [[nodiscard]] bool isStoredUnused() const;
@@ -146,6 +160,8 @@
   /// @brief Forgets what the store holds, so that it is read again.
   void forgetStored();
   void startHolding(AllocatorRecord Record, BootTime GrantsFrom);
+  /// @brief Handles a write that shows that this VM still holds the lease.
+  void prove(AllocatorRecord Written, BootTime Now);
 
   AllocatorRecord m_Self;
   AllocatorLeaseOptions m_Options;
@@ -153,7 +169,7 @@
   /// What the last read found, if that is still to be replaced.
   std::optional<StoredAllocator> m_Stored;
   /// Revision that the last reads found, and since when.
-  std::uint64_t m_ReadRevision = 0;
+  StoreRevision m_ReadRevision;
   BootTime m_ReadRevisionSince;
   bool m_IsAbsent = false;                ///< The last read found no lease.
   std::optional<BootTime> m_MissingSince; ///< No allocator could be reached.
@@ -165,7 +181,9 @@
   bool m_IsFirst = false;
   BootTime m_GrantsFrom;
   BootTime m_ProvedAt;
-  std::uint64_t m_Revision = 0; ///< Of the lease that this VM holds.
+  StoreRevision m_Revision; ///< Of the lease that this VM holds.
+  StoreEra m_Era;           ///< Of the store's latest answer.
+  StoreEra m_ProvedEra;     ///< Of the store at m_ProvedAt.
   /// False after a write whose result is unknown.
   bool m_IsRevisionKnown = false;
   std::optional<WriteLease> m_OutstandingWrite;
--- a/packages/coordination/src/coordination/quota/AllocatorRecord.h
+++ b/packages/coordination/src/coordination/quota/AllocatorRecord.h
@@ -16,6 +16,10 @@
   /// Whether no earlier lease can still be in use: it has allocated.
   bool IsSettled = false;
   bool IsReleased = false; ///< It allocates no more.
+  /// Of the store when this was written, as far as the writer knew. A record of
+  /// an earlier era than the one it is read in comes from an older copy: later
+  /// ones may have been lost.
+  StoreEra Era;
   /// Grows with each renewal, which so changes the stored object.
   std::uint64_t Renewal = 0;
 
--- a/packages/coordination/src/coordination/replicas/KnownReplica.h
+++ b/packages/coordination/src/coordination/replicas/KnownReplica.h
@@ -17,6 +17,9 @@
   ReplicaRecord Record;
   StoreRevision Revision; ///< Of the last change of its entry.
   ReplicaEvidence Evidence = ReplicaEvidence::Stored;
+  /// Whether the record is leaving only because it was, or was gone, before the
+  /// store came back from a copy that holds it as serving.
+  bool IsHeldLeaving = false;
 
   friend bool operator==(const KnownReplica &, const KnownReplica &) = default;
 };
--- a/packages/coordination/src/coordination/replicas/ReplicaRegistry.cpp
+++ b/packages/coordination/src/coordination/replicas/ReplicaRegistry.cpp
@@ -12,6 +12,25 @@
 
 /// Bounds memory if entries come and go all through an outage.
 constexpr std::size_t MaxRemovals = 8'192;
+/// Longer than any copy is old from which the store comes back, and the outage
+/// before.
+constexpr Milliseconds DepartureRetention{60'000};
+
+/// @return Whether @p Stored comes from a copy of the time before the replica
+/// began to leave.
+bool isOutdatedCopy(const KnownReplica &Known, const KnownReplica &Stored) {
+  bool IsFromEarlierEra = Known.Revision.era() < Stored.Revision.era();
+  bool IsSameCopy = Known.IsHeldLeaving && Known.Revision == Stored.Revision;
+  return (IsFromEarlierEra || IsSameCopy) &&
+         Known.Record.StartedAt == Stored.Record.StartedAt &&
+         Known.Record.State == ReplicaState::Leaving &&
+         Stored.Record.State == ReplicaState::Serving;
+}
+
+void holdLeaving(KnownReplica &Stored) {
+  Stored.Record.State = ReplicaState::Leaving;
+  Stored.IsHeldLeaving = true;
+}
 
 } // namespace
 
@@ -39,6 +58,11 @@
   return !Until || Now < *Until;
 }
 
+bool ReplicaRegistry::isRestoring(TimePoint Now) const {
+  auto Latest = m_Contact.latest();
+  return Latest && Latest->FollowsRestore && isRecovering(Now);
+}
+
 bool ReplicaRegistry::isSettled(TimePoint Now) const {
   return !isRecovering(Now) &&
          m_ConfirmedAt >= m_Contact.latest()->Since + m_Options.ReturnTime;
@@ -68,6 +92,8 @@
     return update(Found->second, std::move(Stored), PresentAsOf);
   if (PresentAsOf <= removedAsOf(Id))
     return false;
+  if (hasLeftBefore(Stored))
+    holdLeaving(Stored);
   m_Removals.erase(Id);
   note(ReplicaTransition::Kind::Added, Id, Stored.Revision);
   m_Entries.emplace(Id, std::move(Stored));
@@ -81,12 +107,15 @@
   if (Stored.Revision < Known.Revision ||
       (IsPresumed && PresentAsOf <= removedAsOf(Record.Id)))
     return false;
+  if (isOutdatedCopy(Known, Stored))
+    holdLeaving(Stored);
   if (IsPresumed)
     note(ReplicaTransition::Kind::Revived, Record.Id, Stored.Revision);
   m_Removals.erase(Record.Id);
   bool IsRewritten = Stored.Revision > Known.Revision;
   Known.Revision = Stored.Revision;
   Known.Evidence = ReplicaEvidence::Stored;
+  Known.IsHeldLeaving = Stored.IsHeldLeaving;
   // WarmupLeft decreases on its own, so a higher value of the same entry is out
   // of date. A replica that becomes cold again writes a higher one.
   bool IsSameStart = Record.StartedAt == Known.Record.StartedAt;
@@ -118,6 +147,7 @@
     return false;
   if (IsSettled) {
     note(ReplicaTransition::Kind::Removed, Removed.Id, Removed.Revision);
+    noteDeparture(Found->second, Removed.Revision, Now);
     m_Entries.erase(Found);
     return true;
   }
@@ -127,8 +157,46 @@
   return false;
 }
 
-bool ReplicaRegistry::presume(const KnownReplica &Offered, TimePoint Now) {
-  const ServerName &Id = Offered.Record.Id;
+void ReplicaRegistry::noteDeparture(const KnownReplica &Gone,
+                                    StoreRevision Revision, TimePoint Now) {
+  std::erase_if(m_Departures, [Now](const auto &Each) {
+    return Now - Each.second.At > DepartureRetention;
+  });
+  if (m_Departures.size() < MaxRemovals)
+    m_Departures[Gone.Record.Id] = {
+        .StartedAt = Gone.Record.StartedAt, .Revision = Revision, .At = Now};
+}
+
+bool ReplicaRegistry::hasLeftBefore(const KnownReplica &Stored) const {
+  if (internal::isMutant(internal::Mutant::TrustCopies))
+    return false;
+  auto Found = m_Departures.find(Stored.Record.Id);
+  return Found != m_Departures.end() &&
+         Found->second.StartedAt == Stored.Record.StartedAt &&
+         Found->second.Revision.era() < Stored.Revision.era();
+}
+
+bool ReplicaRegistry::hasCopyExpired(TimePoint Now) const {
+  auto Latest = m_Contact.latest();
+  if (!Latest)
+    return false;
+  TimePoint ExpiredAt = Latest->Since + m_Options.CopyExpiry;
+  return m_ConfirmedAt >= ExpiredAt &&
+         Now >= ExpiredAt + m_Options.RecoveryGrace - m_Options.ReturnTime;
+}
+
+void ReplicaRegistry::releaseHeld() {
+  for (auto &[Id, Each] : m_Entries) {
+    if (!Each.IsHeldLeaving)
+      continue;
+    Each.IsHeldLeaving = false;
+    Each.Record.State = ReplicaState::Serving;
+    note(ReplicaTransition::Kind::Updated, Id, Each.Revision);
+  }
+}
+
+bool ReplicaRegistry::presume(KnownReplica Offered, TimePoint Now) {
+  const ServerName Id = Offered.Record.Id;
   if (m_Entries.contains(Id))
     return false;
   auto Found = m_Removals.find(Id);
@@ -142,8 +210,10 @@
     note(ReplicaTransition::Kind::Refused, Id, Offered.Revision);
     return false;
   }
-  m_Entries[Id] = Offered;
+  if (hasLeftBefore(Offered))
+    holdLeaving(Offered);
   note(ReplicaTransition::Kind::Presumed, Id, Offered.Revision);
+  m_Entries[Id] = std::move(Offered);
   return true;
 }
 
@@ -220,13 +290,17 @@
 }
 
 bool ReplicaRegistry::expire(TimePoint Now) {
+  if (hasCopyExpired(Now))
+    releaseHeld();
   if (!isSettled(Now))
     return false;
   auto Before = m_Entries.size();
-  std::erase_if(m_Entries, [this](const auto &Each) {
+  std::erase_if(m_Entries, [this, Now](const auto &Each) {
     bool IsOver = Each.second.Evidence == ReplicaEvidence::Presumed;
-    if (IsOver)
+    if (IsOver) {
       note(ReplicaTransition::Kind::GaveUp, Each.first, Each.second.Revision);
+      noteDeparture(Each.second, m_AsOf, Now);
+    }
     return IsOver;
   });
   settle(Now);
--- a/packages/coordination/src/coordination/replicas/ReplicaRegistry.h
+++ b/packages/coordination/src/coordination/replicas/ReplicaRegistry.h
@@ -6,6 +6,7 @@
 #include "coordination/replicas/StoreContact.h"
 #include "core/time/Time.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -19,6 +20,9 @@
   Milliseconds ReturnTime{2'000};
   /// ReturnTime, and the time until a VM learns of an entry that is back.
   Milliseconds RecoveryGrace{2'600};
+  /// How long after the store has come back from a copy it may still hold the
+  /// entry of a replica that is gone: three heartbeats.
+  Milliseconds CopyExpiry{3'600};
   /// Shortest store outage during which an entry can expire.
   Milliseconds MinOutage{2'400};
 };
@@ -26,10 +30,10 @@
 /// @brief Tracks the replicas to use, from their entries in the store, and what
 /// each is known by.
 ///
-/// The store's history is linear, so evidence of a greater revision wins,
-/// whichever VM read it: an entry's own revision, and the revision as of which
-/// the whole list is known. Merging reports is commutative, associative and
-/// idempotent.
+/// Within an era the store's history is linear, and a later era follows it, so
+/// evidence of a greater revision wins, whichever VM read it: an entry's own
+/// revision, and the revision as of which the whole list is known. Merging
+/// reports is commutative, associative and idempotent.
 ///
 /// The start that an entry names orders nothing: the clock of a replica's
 /// machine may jump back between two starts. An entry that an earlier start
@@ -40,6 +44,11 @@
 /// presumed to live until RecoveryGrace after the store's recovery. Such a
 /// presumption is passed on as one and never replaces evidence: a VM refuses it
 /// if it knows that the entry was removed, or that the store had no outage.
+///
+/// A store that comes back from an older copy begins a new era. Replicas that
+/// the copy lacks are presumed to live, as after an outage. Those that were
+/// leaving or gone, and that the copy holds as serving, are held as leaving
+/// until they write their entry again, or the copy's entries have expired.
 class ReplicaRegistry {
 public:
   using Entries = std::map<ServerName, KnownReplica>;
@@ -64,6 +73,9 @@
   [[nodiscard]] std::optional<TimePoint> presumedUntil(TimePoint Now) const;
   /// @return Whether an entry may be missing because of an outage.
   [[nodiscard]] bool isRecovering(TimePoint Now) const;
+  /// @return Whether the store has just come back from a copy, so that it may
+  /// lack what it had acknowledged.
+  [[nodiscard]] bool isRestoring(TimePoint Now) const;
 
   /// @brief Adds or updates one entry, which the store holds.
   /// @return Whether anything that affects placement changed.
@@ -99,17 +111,33 @@
     /// Whether no outage could explain that the entry was missing.
     bool IsSettled = false;
   };
+  /// @brief A start of a replica that was removed.
+  struct Departure {
+    std::int64_t StartedAt = 0;
+    StoreRevision Revision; ///< Of the removal.
+    TimePoint At;
+  };
 
   /// @param PresentAsOf A revision as of which the store held the entry.
   bool accept(KnownReplica Stored, StoreRevision PresentAsOf);
   bool update(KnownReplica &Known, KnownReplica Stored,
               StoreRevision PresentAsOf);
-  bool presume(const KnownReplica &Offered, TimePoint Now);
+  bool presume(KnownReplica Offered, TimePoint Now);
   bool removeUnlisted(const ReplicaList &List, TimePoint Now);
   /// @return Whether no entry of the list may be missing because of an outage.
   [[nodiscard]] bool isSettled(TimePoint Now) const;
   /// @brief Forgets what the revision of the list implies by now.
   void settle(TimePoint Now);
+  /// @brief Remembers that the replica left, in case that the store goes back.
+  void noteDeparture(const KnownReplica &Gone, StoreRevision Revision,
+                     TimePoint Now);
+  /// @return Whether @p Stored, of a replica that is not in use, comes from a
+  /// copy of the time before it left.
+  [[nodiscard]] bool hasLeftBefore(const KnownReplica &Stored) const;
+  /// @return Whether entries that the copy alone holds have expired.
+  [[nodiscard]] bool hasCopyExpired(TimePoint Now) const;
+  /// @brief Ends that replicas are held as leaving.
+  void releaseHeld();
   void note(ReplicaTransition::Kind What, const ServerName &Id,
             StoreRevision Revision);
 
@@ -121,6 +149,7 @@
   StoreRevision m_SettledAsOf;
   /// Removals that m_SettledAsOf doesn't imply.
   std::map<ServerName, Removal> m_Removals;
+  std::map<ServerName, Departure> m_Departures;
   StoreContact m_Contact;
   TimePoint m_ConfirmedAt = TimePoint::min();
   std::vector<ReplicaTransition> m_Transitions;
--- a/packages/coordination/src/coordination/replicas/StoreContact.cpp
+++ b/packages/coordination/src/coordination/replicas/StoreContact.cpp
@@ -1,6 +1,7 @@
 #include "coordination/replicas/StoreContact.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace carawaypond {
 
@@ -16,11 +17,17 @@
 
 void StoreContact::add(ContactSpan Span) {
   auto IsApart = [&](const ContactSpan &Each) {
-    return Each.Until + m_MinOutage < Span.Since ||
+    return Each.Era != Span.Era || Each.Until + m_MinOutage < Span.Since ||
            Span.Until + m_MinOutage < Each.Since;
   };
+  bool IsNewEra = !m_Spans.empty() && m_Spans.back().Era > StoreEra(0) &&
+                  m_Spans.back().Era < Span.Era;
+  Span.FollowsRestore = Span.FollowsRestore || IsNewEra;
   std::vector<ContactSpan> Kept;
   for (const ContactSpan &Each : m_Spans) {
+    bool IsSameEra = Each.Era == Span.Era;
+    Span.FollowsRestore =
+        Span.FollowsRestore || (IsSameEra && Each.FollowsRestore);
     if (IsApart(Each)) {
       Kept.push_back(Each);
       continue;
@@ -30,7 +37,7 @@
   }
   auto After =
       std::find_if(Kept.begin(), Kept.end(), [&](const ContactSpan &Each) {
-        return Span.Since < Each.Since;
+        return std::tie(Span.Era, Span.Since) < std::tie(Each.Era, Each.Since);
       });
   Kept.insert(After, Span);
   if (Kept.size() > MaxSpans)
--- a/packages/coordination/src/coordination/replicas/StoreContact.h
+++ b/packages/coordination/src/coordination/replicas/StoreContact.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/id/StoreRevision.h"
 #include "core/time/Time.h"
 
 #include <optional>
@@ -8,10 +9,14 @@
 namespace carawaypond {
 
 /// @brief A period in which the store answered again and again, without an
-/// outage in between.
+/// outage in between, and in one era.
 struct ContactSpan {
   TimePoint Since; ///< First answer of the period.
   TimePoint Until; ///< Last answer so far.
+  StoreEra Era;
+  /// Whether an earlier era was known, so that the store came back from a copy
+  /// before the period. The writers may not have had time to write again yet.
+  bool FollowsRestore = false;
 
   friend bool operator==(const ContactSpan &, const ContactSpan &) = default;
 };
@@ -20,7 +25,8 @@
 ///
 /// VMs tell each other their periods of contact. Only a silence towards all of
 /// them is an outage of the store: a VM that was cut off from the store learns
-/// from the others that there was none.
+/// from the others that there was none. A new era begins a period, however
+/// short the silence before it was.
 class StoreContact {
 public:
   /// @param MinOutage Shortest silence of the store that is an outage.
@@ -40,7 +46,8 @@
   static constexpr std::size_t MaxSpans = 8;
 
   Milliseconds m_MinOutage;
-  std::vector<ContactSpan> m_Spans; ///< Oldest first, with outages in between.
+  /// Oldest first, with outages or restores in between.
+  std::vector<ContactSpan> m_Spans;
 };
 
 } // namespace carawaypond
--- a/packages/coordination/test/coordination/evacuation/EvacuationRegistryTest.cpp
+++ b/packages/coordination/test/coordination/evacuation/EvacuationRegistryTest.cpp
@@ -99,3 +99,28 @@
         std::string("\xc3\xa5"), std::string(MaxCentreNameBytes + 1, 'a')})
     CHECK_FALSE(isCentreName(Odd));
 }
+
+TEST_CASE("EVAC: an evacuation that a copy of the store lacks stays in force "
+          "until it is written again") {
+  EvacuationRegistry Registry;
+  const StoreEra First(1);
+  const StoreEra Second(2);
+  const DataCentre Centre("umea-a");
+  Registry.merge({.AsOf = StoreRevision(50, First), .Centres = {}});
+  Registry.put({.Centre = Centre, .Revision = StoreRevision(60, First)});
+  Registry.merge({.AsOf = StoreRevision(40, Second), .Centres = {}});
+  Registry.merge({.AsOf = StoreRevision(41, Second), .Centres = {}});
+  REQUIRE(Registry.evacuated().contains(Centre));
+
+  SUBCASE("it is written again, and ends later") {
+    Registry.put({.Centre = Centre, .Revision = StoreRevision(42, Second)});
+    Registry.settle();
+    CHECK(Registry.evacuated().contains(Centre));
+    Registry.remove({.Centre = Centre, .Revision = StoreRevision(43, Second)});
+    CHECK(Registry.evacuated().empty());
+  }
+  SUBCASE("it is not") {
+    Registry.settle();
+    CHECK(Registry.evacuated().empty());
+  }
+}
--- a/packages/coordination/test/coordination/fleet/VmTrackerTest.cpp
+++ b/packages/coordination/test/coordination/fleet/VmTrackerTest.cpp
@@ -209,3 +209,25 @@
   Board.onRecord(makeVm("a", 9).Record, StoreRevision(0), Start);
   CHECK(usedIncarnation(Board, Start) == 5);
 }
+
+TEST_CASE("a record that a copy of the store holds does not replace a later "
+          "start") {
+  // Guards against a restarted VM that the others ignore, as the store went
+  // back to the record of its earlier start.
+  VmTracker Board(VmName("self"), {});
+  StoreRevision Later(20, StoreEra(1));
+  StoreRevision Copied(10, StoreEra(2));
+  Board.onRecord(makeVm("a", 5).Record, StoreRevision(10, StoreEra(1)), Start);
+  Board.onRecord(makeVm("a", 9).Record, Later, Start);
+  Board.onHeartbeat(makeVm("a", 9), Start);
+  SUBCASE("while it is heard") {
+    Board.onRecord(makeVm("a", 5).Record, Copied, Start + Beat);
+    CHECK(usedIncarnation(Board, Start + Beat) == 9);
+  }
+  SUBCASE("while it is silent") {
+    TimePoint Now = Start + Milliseconds(3'000);
+    Board.onRecord(makeVm("a", 5).Record, Copied, Now);
+    Board.onHeartbeat(makeVm("a", 9), Now + Beat);
+    CHECK(usedIncarnation(Board, Now + Beat) == 9);
+  }
+}
--- a/packages/coordination/test/coordination/replicas/ReplicaRegistryTest.cpp
+++ b/packages/coordination/test/coordination/replicas/ReplicaRegistryTest.cpp
@@ -363,3 +363,121 @@
   Book.merge(Delta, Start);
   CHECK(Book.asOf() == rev(50));
 }
+
+namespace {
+
+const StoreEra Second(2);
+
+StoreRevision again(std::uint64_t Number) {
+  return StoreRevision(Number, Second);
+}
+
+/// @return A registry of one replica, whose store names its first era.
+ReplicaRegistry makeFirstEra(ReplicaState State = ReplicaState::Serving) {
+  ReplicaRegistry Book({});
+  for (int Ago = 6'000; Ago >= 0; Ago -= 1'000) {
+    TimePoint At = Start - Milliseconds(Ago);
+    Book.onStoreContact({.Since = At, .Until = At, .Era = StoreEra(1)}, At);
+    Book.confirm(At);
+  }
+  ReplicaRecord Record = makeRecord();
+  Record.State = State;
+  Book.put(Record, StoreRevision(90, StoreEra(1)));
+  Book.advance(StoreRevision(100, StoreEra(1)), Start);
+  return Book;
+}
+
+/// @brief The store answers in its second era.
+void answerAgain(ReplicaRegistry &Book, TimePoint At) {
+  Book.onStoreContact({.Since = At, .Until = At, .Era = Second}, At);
+  Book.confirm(At);
+}
+
+/// @return The list of a copy that holds the replica as serving.
+ReplicaList makeCopy() {
+  return {.AsOf = again(50),
+          .Replicas = {{.Record = makeRecord(), .Revision = again(10)}}};
+}
+
+ReplicaState stateOf(const ReplicaRegistry &Book) {
+  return Book.entries().at(Id).Record.State;
+}
+
+} // namespace
+
+TEST_CASE("CONFIG: entries of a later era count, although the store gives "
+          "lower revisions out again") {
+  ReplicaRegistry Book = makeFirstEra();
+  TimePoint Now = Start + Milliseconds(1'000);
+  answerAgain(Book, Now);
+  Book.merge(makeCopy(), Now);
+  ReplicaRecord Added = makeRecord();
+  Added.Id = ServerName("i-2");
+  CHECK(Book.put(Added, again(51)));
+  ReplicaRecord Leaving = makeRecord();
+  Leaving.State = ReplicaState::Leaving;
+  CHECK(Book.put(Leaving, again(52)));
+  CHECK(Book.asOf() == again(50));
+  // What a VM says that has not noticed yet.
+  Book.merge(
+      ReplicaList{.AsOf = StoreRevision(100, StoreEra(1)), .Replicas = {}},
+      Now);
+  CHECK(Book.entries().size() == 2);
+  CHECK(stateOf(Book) == ReplicaState::Leaving);
+}
+
+TEST_CASE("CONFIG: a replica that the copy lacks stays in use until it writes "
+          "its entry again") {
+  ReplicaRegistry Book = makeFirstEra();
+  TimePoint Now = Start + Milliseconds(1'000);
+  answerAgain(Book, Now);
+  CHECK(Book.isRestoring(Now));
+  CHECK_FALSE(Book.merge(ReplicaList{.AsOf = again(50), .Replicas = {}}, Now));
+  REQUIRE(Book.presumed() == 1);
+  SUBCASE("it does") {
+    Book.put(makeRecord(), again(60));
+    CHECK(Book.presumed() == 0);
+  }
+  SUBCASE("it does not") {
+    answerAgain(Book, Now + Milliseconds(1'300));
+    Now += Milliseconds(2'600);
+    answerAgain(Book, Now);
+    Book.expire(Now);
+    CHECK(Book.entries().empty());
+    CHECK_FALSE(Book.isRestoring(Now));
+  }
+}
+
+TEST_CASE("DRAIN: a replica that was leaving, or gone, is not used because the "
+          "copy holds it as serving") {
+  ReplicaRegistry Book = makeFirstEra(ReplicaState::Leaving);
+  SUBCASE("it was leaving") {}
+  SUBCASE("it was gone") {
+    Book.remove({.Id = Id, .Revision = StoreRevision(95, StoreEra(1))}, Start);
+    REQUIRE(Book.entries().empty());
+  }
+  TimePoint Back = Start + Milliseconds(1'000);
+  answerAgain(Book, Back);
+  Book.merge(makeCopy(), Back);
+  CHECK(stateOf(Book) == ReplicaState::Leaving);
+  Book.merge(makeCopy(), Back + Milliseconds(500));
+  CHECK(stateOf(Book) == ReplicaState::Leaving);
+
+  SUBCASE("it writes that it leaves") {
+    ReplicaRecord Leaving = makeRecord();
+    Leaving.State = ReplicaState::Leaving;
+    Book.put(Leaving, again(60));
+    CHECK_FALSE(Book.entries().at(Id).IsHeldLeaving);
+  }
+  SUBCASE("it writes that it serves") {
+    CHECK(Book.put(makeRecord(), again(60)));
+    CHECK(stateOf(Book) == ReplicaState::Serving);
+  }
+  SUBCASE("the copy's entry did not expire") {
+    TimePoint Now = Back + Milliseconds(4'200);
+    answerAgain(Book, Back + Milliseconds(2'000));
+    answerAgain(Book, Now);
+    Book.expire(Now);
+    CHECK(stateOf(Book) == ReplicaState::Serving);
+  }
+}
--- a/packages/core/src/core/core.h
+++ b/packages/core/src/core/core.h
@@ -4,6 +4,7 @@
 /// @brief Umbrella header of the core package.
 
 #include "core/id/Ids.h"
+#include "core/id/StoreRevision.h"
 #include "core/id/StrongId.h"
 #include "core/invariant/Invariant.h"
 #include "core/metrics/LatencyHistogram.h"
--- a/packages/core/src/core/id/Ids.h
+++ b/packages/core/src/core/id/Ids.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/id/StoreRevision.h"
 #include "core/id/StrongId.h"
 
 #include <cstdint>
@@ -25,8 +26,6 @@
 using IndexVersion = StrongId<struct IndexVersionTag, std::uint64_t>;
 /// @brief The number of a service's configuration; greater is newer.
 using ConfigVersion = StrongId<struct ConfigVersionTag, std::uint64_t>;
-/// @brief A revision of the platform's store; each change has a greater one.
-using StoreRevision = StrongId<struct StoreRevisionTag, std::uint64_t>;
 /// @brief One run of a VM's daemon. Each restart has a greater incarnation,
 /// unless the VM's clock jumped back.
 using Incarnation = StrongId<struct IncarnationTag, std::uint64_t>;
--- a/packages/core/src/core/id/fwd.h
+++ b/packages/core/src/core/id/fwd.h
@@ -2,6 +2,7 @@
 
 namespace carawaypond {
 
+class StoreRevision;
 template <typename Tag, typename Rep> class StrongId;
 
 } // namespace carawaypond
--- a/packages/gateway/src/gateway/app/ComponentOptions.cpp
+++ b/packages/gateway/src/gateway/app/ComponentOptions.cpp
@@ -18,6 +18,8 @@
 /// A replica entry expires after three missed heartbeats. The first of them may
 /// already have passed when the store is lost, so two are counted here.
 constexpr int HeartbeatsToExpiry = 2;
+/// Missed heartbeats after which a replica's entry expires.
+constexpr int MissedHeartbeats = 3;
 /// How long the directory may list a silent VM beyond the stability window.
 constexpr Milliseconds DirectorySlack{3'000};
 /// How long a VM reads the store itself after its reader failed, where VMs that
@@ -115,7 +117,8 @@
 }
 
 ReplicaRegistryOptions registryOptions(const adapter::SiteSettings &Settings) {
-  return {.MinOutage = Settings.ReplicaHeartbeat * HeartbeatsToExpiry};
+  return {.CopyExpiry = Settings.ReplicaHeartbeat * MissedHeartbeats,
+          .MinOutage = Settings.ReplicaHeartbeat * HeartbeatsToExpiry};
 }
 
 VmTrackerOptions vmOptions(const adapter::SiteSettings &Settings) {
--- a/packages/gateway/src/gateway/app/Gateway.cpp
+++ b/packages/gateway/src/gateway/app/Gateway.cpp
@@ -160,6 +160,7 @@
           {.Ip = m_Settings.Ip, .Port = m_Settings.FirstInternalPort}, m_State,
           [this] { return beat(); },
           [this](const Heartbeat &Heard) {
+            m_State.onConfigHeard(Heard.ConfigVersion);
             m_Fetcher.onHeartbeat(Heard);
             m_Quota.onHeartbeat(Heard.Allocator);
             onSlowAnswers(Heard);
--- a/packages/gateway/src/gateway/app/MetricsText.cpp
+++ b/packages/gateway/src/gateway/app/MetricsText.cpp
@@ -56,6 +56,8 @@
   addLine(Text, "config_age_milliseconds", State.configAge().count());
   addLine(Text, "replicas_age_milliseconds", State.replicaAge().count());
   addLine(Text, "vms_known", State.vms().known().size() + 1);
+  addLine(Text, "store_era", State.storeEra().value());
+  addLine(Text, "store_restores_total", Calls.Restores);
   addLine(Text, "store_reads_total", Calls.Reads);
   addLine(Text, "store_watches_total", Calls.Watches);
   addLine(Text, "store_writes_total", Calls.Writes);
--- a/packages/gateway/src/gateway/control/ConfigSink.h
+++ b/packages/gateway/src/gateway/control/ConfigSink.h
@@ -3,8 +3,6 @@
 #include "adapter/StoredDocument.h"
 #include "gateway/control/FleetState.h"
 
-#include <cstdint>
-
 namespace carawaypond::gateway {
 
 /// @brief Applies the configuration object in the store to the FleetState.
@@ -16,9 +14,9 @@
 
   void beginList() {}
   void listed(const adapter::StoredDocument &Document);
-  void endList(std::uint64_t) {}
+  void endList(StoreRevision) {}
   void changed(const adapter::DocumentChange &Change);
-  void followed(std::uint64_t) {}
+  void followed(StoreRevision) {}
   void confirm(TimePoint At) { m_State.confirmConfig(At); }
   /// @brief Records that the store was asked at @p AsOf, and answered.
   void prove(BootTime AsOf) { m_State.proveConfig(AsOf, StoreSource); }
--- a/packages/gateway/src/gateway/control/EvacuationSink.cpp
+++ b/packages/gateway/src/gateway/control/EvacuationSink.cpp
@@ -15,8 +15,7 @@
 constexpr std::size_t MaxInvalidNames = 1'000;
 
 EvacuatedCentre centreOf(const adapter::StoredDocument &Document) {
-  return {.Centre = DataCentre(Document.Name),
-          .Revision = StoreRevision(Document.Revision)};
+  return {.Centre = DataCentre(Document.Name), .Revision = Document.Revision};
 }
 
 } // namespace
@@ -28,8 +27,8 @@
     m_Listed.Centres.push_back(centreOf(Document));
 }
 
-void EvacuationSink::endList(std::uint64_t Revision) {
-  m_Listed.AsOf = StoreRevision(Revision);
+void EvacuationSink::endList(StoreRevision Revision) {
+  m_Listed.AsOf = Revision;
   m_State.mergeEvacuations(m_Listed, StoreSource);
   m_Listed.Centres.clear();
 }
@@ -43,8 +42,8 @@
     m_State.putEvacuation(centreOf(Change.Document));
 }
 
-void EvacuationSink::followed(std::uint64_t Revision) {
-  m_State.advanceEvacuations(StoreRevision(Revision));
+void EvacuationSink::followed(StoreRevision Revision) {
+  m_State.advanceEvacuations(Revision);
 }
 
 bool EvacuationSink::checkName(const adapter::StoredDocument &Document) {
@@ -64,7 +63,7 @@
   m_State.onUnreadable(1);
   LogLine Line("evacuation_unreadable");
   Line.add("centre", Start);
-  Line.add("revision", Document.Revision);
+  Line.add("revision", Document.Revision.number());
   m_Log.write(Line);
 }
 
--- a/packages/gateway/src/gateway/control/EvacuationSink.h
+++ b/packages/gateway/src/gateway/control/EvacuationSink.h
@@ -5,7 +5,6 @@
 #include "gateway/control/FleetState.h"
 #include "gateway/log/EventLog.h"
 
-#include <cstdint>
 #include <set>
 #include <string>
 
@@ -22,9 +21,9 @@
 
   void beginList() { m_Listed.Centres.clear(); }
   void listed(const adapter::StoredDocument &Document);
-  void endList(std::uint64_t Revision);
+  void endList(StoreRevision Revision);
   void changed(const adapter::DocumentChange &Change);
-  void followed(std::uint64_t Revision);
+  void followed(StoreRevision Revision);
   void confirm(TimePoint At) { m_State.confirmEvacuations(At); }
   void prove(BootTime) {}
 
--- a/packages/gateway/src/gateway/control/FleetState.cpp
+++ b/packages/gateway/src/gateway/control/FleetState.cpp
@@ -61,6 +61,8 @@
     m_Log.write(Line);
     return false;
   }
+  if (Source == StoreSource)
+    m_StoreVersion = Read.value().version().value();
   if (!m_Table || Read.value().version() > m_Table->version())
     useConfig(std::move(Read.value()), Document, Source);
   return true;
@@ -70,6 +72,7 @@
                            std::string_view Source) {
   m_Table = std::make_shared<const RoutingTable>(std::move(Table));
   m_ConfigDocument = Document;
+  m_NewestVersion = std::max(m_NewestVersion, configVersion());
   m_HasUnpublished = true;
   LogLine Line("config_applied");
   Line.add("version", configVersion());
@@ -94,8 +97,8 @@
                                std::string_view Source) {
   LogLine Line("replicas_listed");
   Line.add("count", static_cast<std::uint64_t>(List.Replicas.size()));
-  Line.add("revision", List.AsOf.value());
-  Line.add("known_revision", m_Book.asOf().value());
+  Line.add("revision", List.AsOf.number());
+  Line.add("known_revision", m_Book.asOf().number());
   Line.add("source", Source);
   m_Log.write(Line);
   m_Book.merge(List, monotonicNow());
@@ -109,7 +112,7 @@
   LogLine Line("replicas_changed");
   Line.add("put", static_cast<std::uint64_t>(Delta.Put.size()));
   Line.add("gone", static_cast<std::uint64_t>(Delta.Removed.size()));
-  Line.add("revision", Delta.AsOf.value());
+  Line.add("revision", Delta.AsOf.number());
   Line.add("source", Source);
   if (m_Book.merge(Delta, monotonicNow()))
     m_Log.write(Line);
@@ -161,7 +164,7 @@
     m_HasUnpublished = true;
     LogLine Line(Each.IsEvacuated ? "evacuation_begun" : "evacuation_ended");
     Line.add("centre", Each.Centre.value());
-    Line.add("revision", Each.Revision.value());
+    Line.add("revision", Each.Revision.number());
     Line.add("source", Source);
     Line.add("unconfirmed_ms", evacuationAge().count());
     m_Log.write(Line);
@@ -203,8 +206,8 @@
   }
   LogLine Line(eventOf(Change.What));
   Line.add("replica", Change.Id.value());
-  Line.add("revision", Change.Revision.value());
-  Line.add("known_revision", m_Book.asOf().value());
+  Line.add("revision", Change.Revision.number());
+  Line.add("known_revision", m_Book.asOf().number());
   Line.add("source", Source);
   Line.add("unconfirmed_ms", replicaAge().count());
   if (Change.What == Kind::Removed || Change.What == Kind::GaveUp)
@@ -226,7 +229,7 @@
   Line.add("service", Record.Service.value());
   Line.add("leaving", Record.State == ReplicaState::Leaving);
   Line.add("warmup_ms", Record.WarmupLeft.count());
-  Line.add("revision", Change.Revision.value());
+  Line.add("revision", Change.Revision.number());
   Line.add("source", Source);
   m_Log.write(Line);
 }
@@ -240,7 +243,7 @@
       continue;
     LogLine Line("replica_leaving");
     Line.add("replica", Each.Id.value());
-    Line.add("revision", Each.Replica->Revision.value());
+    Line.add("revision", Each.Replica->Revision.number());
     Line.add("unconfirmed_ms", replicaAge().count());
     m_Log.write(Line);
   }
@@ -284,16 +287,37 @@
   return m_ConfigProof.age(bootNow());
 }
 
+bool FleetState::mayLackConfig() const {
+  return m_IsStoreConfigUnreadable || m_StoreVersion < m_NewestVersion ||
+         m_Book.isRestoring(monotonicNow());
+}
+
 void FleetState::proveConfig(BootTime AsOf, std::string_view Source) {
-  bool IsOlder = Source == StoreSource && m_IsStoreConfigUnreadable;
+  bool IsOlder = Source == StoreSource && mayLackConfig();
   if (!m_OnProof || !m_Table || IsOlder)
     return;
   m_ConfigProof.prove(AsOf);
   m_OnProof(*m_ConfigProof.asOf());
 }
 
-void FleetState::onStoreAnswered(TimePoint At) {
-  m_Book.onStoreContact({.Since = At, .Until = At}, monotonicNow());
+void FleetState::onContactChanged() {
+  auto Latest = m_Book.contact().latest();
+  if (!Latest || Latest->Era <= m_Era)
+    return;
+  m_Era = Latest->Era;
+  if (!Latest->FollowsRestore)
+    return;
+  LogLine Line("store_restored");
+  Line.add("era", m_Era.value());
+  Line.add("known_revision", m_Book.asOf().number());
+  Line.add("known_era", m_Book.asOf().era().value());
+  Line.add("config", configVersion());
+  m_Log.write(Line);
+}
+
+void FleetState::onStoreAnswered(TimePoint At, StoreEra Era) {
+  m_Book.onStoreContact({.Since = At, .Until = At, .Era = Era}, monotonicNow());
+  onContactChanged();
   onReplicasChanged(StoreSource);
   publish();
 }
@@ -301,6 +325,7 @@
 void FleetState::onStoreContact(const ContactAge &Age) {
   TimePoint Now = monotonicNow();
   m_Book.onStoreContact(Age.spanAt(Now), Now);
+  onContactChanged();
   onReplicasChanged(PeerSource);
   publish();
 }
@@ -321,6 +346,10 @@
   TimePoint Now = monotonicNow();
   m_Book.expire(Now);
   onReplicasChanged(StoreSource);
+  if (!m_Book.isRestoring(Now)) {
+    m_Evacuations.settle();
+    onEvacuationsChanged(StoreSource);
+  }
   m_Vms.expire(Now);
   double Share = m_Vms.share(m_OwnLoad(), Now);
   VmTurn Turn = m_Vms.turn(Now);
--- a/packages/gateway/src/gateway/control/FleetState.h
+++ b/packages/gateway/src/gateway/control/FleetState.h
@@ -89,6 +89,8 @@
   [[nodiscard]] const VmTracker &vms() const { return m_Vms; }
   /// @return The number of views published so far.
   [[nodiscard]] std::uint64_t changes() const { return m_Changes; }
+  /// @return The latest known era of the store.
+  [[nodiscard]] StoreEra storeEra() const { return m_Era; }
   /// @return Number of objects in the store's answers that were left out
   /// because they could not be read.
   [[nodiscard]] std::uint64_t unreadable() const { return m_Unreadable; }
@@ -141,19 +143,25 @@
   /// @brief Records that the configuration in force was the newest at @p AsOf.
   /// All that was known then must have been published.
   /// @param Source What proves it. The store proves nothing while its
-  /// configuration can't be decoded.
+  /// configuration can't be decoded, is older than one that a VM has, or may be
+  /// older because the store has just come back from a copy.
   void proveConfig(BootTime AsOf, std::string_view Source);
   /// @brief Enables proofs of the configuration. Without a handler,
   /// proveConfig() does nothing and no VM is told the age of a proof.
   /// @param Proved Called with each proof.
   void onProof(OnProof Proved) { m_OnProof = std::move(Proved); }
   /// @brief Records that the store answered this VM at @p At.
-  void onStoreAnswered(TimePoint At);
+  /// @param Era The store's, as the answer names it.
+  void onStoreAnswered(TimePoint At, StoreEra Era = {});
   /// @brief Records when the store answered other VMs, as one of them says.
   void onStoreContact(const ContactAge &Age);
   /// @brief Wakes the calls of VMs that follow this one, so that they learn
   /// that it lost the store.
   void onStoreLost() { m_Signal.notify(); }
+  /// @brief Records that another VM has the configuration @p Version in force.
+  void onConfigHeard(std::uint64_t Version) {
+    m_NewestVersion = std::max(m_NewestVersion, Version);
+  }
   /// @brief Handles a heartbeat.
   /// @return Whether its sender was unknown until now.
   bool onHeartbeat(const LoadedVm &Vm);
@@ -173,6 +181,11 @@
   }
 
 private:
+  /// @return Whether the store may lack a configuration that it has
+  /// acknowledged.
+  [[nodiscard]] bool mayLackConfig() const;
+  /// @brief Logs that the store has come back from an older copy.
+  void onContactChanged();
   /// @brief Replaces the configuration in force.
   void useConfig(RoutingTable Table, const nlohmann::json &Document,
                  std::string_view Source);
@@ -204,6 +217,9 @@
   /// Whether the store's configuration can't be decoded, so that an older one
   /// is in force. Other VMs' configurations don't change it: they may be older.
   bool m_IsStoreConfigUnreadable = false;
+  std::uint64_t m_StoreVersion = 0;  ///< Of the store's configuration.
+  std::uint64_t m_NewestVersion = 0; ///< That any VM has in force.
+  StoreEra m_Era;                    ///< Of the store, as last logged.
   VmTracker m_Vms;
   OwnLoad m_OwnLoad;
   double m_Share = 1;
--- a/packages/gateway/src/gateway/control/ReaderFollower.cpp
+++ b/packages/gateway/src/gateway/control/ReaderFollower.cpp
@@ -108,10 +108,10 @@
   m_Request.Sequence = Answer.Sequence;
   bool IsConfigRead = Answer.Config.is_null() ||
                       m_State.applyConfig(Answer.Config, ReaderSource);
-  applyEvacuations(Answer.Evacuations);
   // It decides what a missing entry means.
   if (Answer.Contact)
     m_State.onStoreContact(*Answer.Contact);
+  applyEvacuations(Answer.Evacuations);
   if (auto *List = std::get_if<ReplicaList>(&Answer.Replicas))
     applyReplicas(*List, Answer.HasReplicas);
   else
--- a/packages/gateway/src/gateway/control/ReplicaSink.cpp
+++ b/packages/gateway/src/gateway/control/ReplicaSink.cpp
@@ -17,21 +17,20 @@
   auto Read = adapter::decodeReplica(Document.Name, Document.Content);
   if (!Read)
     return logUnreadable(Document);
-  m_Listed.push_back({.Record = std::move(*Read),
-                      .Revision = StoreRevision(Document.Revision)});
+  m_Listed.push_back(
+      {.Record = std::move(*Read), .Revision = Document.Revision});
 }
 
-void ReplicaSink::endList(std::uint64_t Revision) {
-  m_State.mergeReplicas(
-      {.AsOf = StoreRevision(Revision), .Replicas = std::move(m_Listed)},
-      StoreSource);
+void ReplicaSink::endList(StoreRevision Revision) {
+  m_State.mergeReplicas({.AsOf = Revision, .Replicas = std::move(m_Listed)},
+                        StoreSource);
   m_Listed.clear();
 }
 
 void ReplicaSink::changed(const adapter::DocumentChange &Change) {
   const std::string &Name = Change.Document.Name;
   RemovedReplica Removed{.Id = ServerName(Name),
-                         .Revision = StoreRevision(Change.Document.Revision)};
+                         .Revision = Change.Document.Revision};
   if (Change.IsRemoved)
     return m_State.removeReplica(Removed);
   if (auto Read = adapter::decodeReplica(Name, Change.Document.Content))
@@ -40,8 +39,8 @@
   m_State.removeReplica(Removed);
 }
 
-void ReplicaSink::followed(std::uint64_t Revision) {
-  m_State.advanceReplicas(StoreRevision(Revision));
+void ReplicaSink::followed(StoreRevision Revision) {
+  m_State.advanceReplicas(Revision);
 }
 
 void ReplicaSink::logUnreadable(const adapter::StoredDocument &Document) {
@@ -55,7 +54,7 @@
   m_State.onUnreadable(1);
   LogLine Line("replica_unreadable");
   Line.add("replica", Document.Name);
-  Line.add("revision", Document.Revision);
+  Line.add("revision", Document.Revision.number());
   m_Log.write(Line);
 }
 
--- a/packages/gateway/src/gateway/control/ReplicaSink.h
+++ b/packages/gateway/src/gateway/control/ReplicaSink.h
@@ -4,7 +4,6 @@
 #include "gateway/control/FleetState.h"
 #include "gateway/log/EventLog.h"
 
-#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -20,9 +19,9 @@
 
   void beginList() { m_Listed.clear(); }
   void listed(const adapter::StoredDocument &Document);
-  void endList(std::uint64_t Revision);
+  void endList(StoreRevision Revision);
   void changed(const adapter::DocumentChange &Change);
-  void followed(std::uint64_t Revision);
+  void followed(StoreRevision Revision);
   void confirm(TimePoint At) { m_State.confirmReplicas(At); }
   void prove(BootTime) {}
 
@@ -35,7 +34,7 @@
   /// Entries collected from the pages of the list in progress.
   std::vector<KnownReplica> m_Listed;
   /// The logged entries by name, with the revision of their last change.
-  std::map<std::string, std::uint64_t> m_Unreadable;
+  std::map<std::string, StoreRevision> m_Unreadable;
 };
 
 } // namespace carawaypond::gateway
--- a/packages/gateway/src/gateway/control/StoreFollower.cpp
+++ b/packages/gateway/src/gateway/control/StoreFollower.cpp
@@ -41,10 +41,10 @@
     m_State.onStoreLost();
 }
 
-void StoreFollower::onAnswered() {
+void StoreFollower::onAnswered(StoreEra Era) {
   m_Pause.reset();
   m_Health.onAnswered(monotonicNow());
-  m_State.onStoreAnswered(monotonicNow());
+  m_State.onStoreAnswered(monotonicNow(), Era);
 }
 
 void StoreFollower::confirm(TimePoint At) {
@@ -59,7 +59,7 @@
   TimePoint AskedAt = monotonicNow();
   BootTime ProvedAsOf = bootNow();
   std::visit([](auto &Into) { Into.beginList(); }, m_Sink);
-  std::uint64_t Revision = 0;
+  StoreRevision Revision;
   std::string After;
   bool HasMore = true;
   while (HasMore) {
@@ -69,15 +69,19 @@
       onFailed(Page.error());
       co_return false;
     }
-    onAnswered();
+    StoreRevision AsOf = Page.value().Revision;
+    onAnswered(AsOf.era());
     m_State.onUnnamed(kind(), Page.value().Unreadable);
     const auto &Documents = Page.value().Documents;
     for (const adapter::StoredDocument &Each : Documents)
       std::visit([&](auto &Into) { Into.listed(Each); }, m_Sink);
     // The watch starts at the first page's revision, so that changes made while
     // the later pages were read are delivered again.
-    if (Revision == 0)
-      Revision = Page.value().Revision;
+    if (After.empty())
+      Revision = AsOf;
+    // Pages of two eras make no list.
+    if (AsOf.era() != Revision.era())
+      co_return false;
     HasMore = Page.value().HasMore && !Documents.empty();
     if (HasMore)
       After = Documents.back().Name;
@@ -100,11 +104,16 @@
     onFailed(Changes.error());
     co_return false;
   }
-  onAnswered();
+  StoreRevision AsOf = Changes.value().Revision;
+  onAnswered(AsOf.era());
   m_State.onUnnamed(kind(), Changes.value().Unreadable);
   for (const adapter::DocumentChange &Each : Changes.value().Changes)
     std::visit([&](auto &Into) { Into.changed(Each); }, m_Sink);
-  m_Cursor.onAnswer(Changes.value().Changes.size(), Changes.value().Revision);
+  m_Cursor.onAnswer(Changes.value().Changes.size(), AsOf);
+  if (m_Cursor.mustList()) {
+    m_State.publish();
+    co_return co_await list();
+  }
   std::visit([this](auto &Into) { Into.followed(m_Cursor.revision()); },
              m_Sink);
   m_State.publish();
--- a/packages/gateway/src/gateway/control/StoreFollower.h
+++ b/packages/gateway/src/gateway/control/StoreFollower.h
@@ -22,7 +22,7 @@
 /// while this VM is to read the store.
 ///
 /// Reads the whole list, then watches for changes; reads the list again after
-/// each failure.
+/// each failure, and when the store has come back from an older copy.
 class StoreFollower {
 public:
   using Sink = std::variant<ConfigSink, ReplicaSink, EvacuationSink>;
@@ -40,7 +40,8 @@
   boost::asio::awaitable<bool> list();
   boost::asio::awaitable<bool> watch();
   void onFailed(const Error &Why);
-  void onAnswered();
+  /// @param Era Of the store that has answered.
+  void onAnswered(StoreEra Era);
   void confirm(TimePoint At);
   /// @param AsOf When the call to the store began.
   void prove(BootTime AsOf);
--- a/packages/gateway/src/gateway/control/VmRegistration.cpp
+++ b/packages/gateway/src/gateway/control/VmRegistration.cpp
@@ -65,15 +65,14 @@
 void VmRegistration::onPage(
     const std::vector<adapter::StoredDocument> &Documents) {
   for (const adapter::StoredDocument &Each : Documents) {
-    StoreRevision Revision(Each.Revision);
-    m_Records.push_back({.Name = VmName(Each.Name), .Revision = Revision});
+    m_Records.push_back({.Name = VmName(Each.Name), .Revision = Each.Revision});
     auto Vm = decodeVm(Each.Content);
     if (!Vm)
       continue;
     bool IsOwn = Vm->Name == m_Self.Name &&
                  Vm->IncarnationNumber == m_Self.IncarnationNumber;
     m_IsListed = m_IsListed || IsOwn;
-    m_State.onVmRecord(*Vm, Revision);
+    m_State.onVmRecord(*Vm, Each.Revision);
   }
 }
 
@@ -119,7 +118,7 @@
 awaitable<void> VmRegistration::remove(const StoredVmRecord &Gone) {
   TimePoint Deadline = monotonicNow() + m_Options.AnswerTimeout;
   auto Removed = co_await m_Store.removeIf(VmKind, Gone.Name.value(),
-                                           Gone.Revision.value(), Deadline);
+                                           Gone.Revision, Deadline);
   LogLine Line("record_removed");
   Line.add("vm", Gone.Name.value());
   Line.add("succeeded", static_cast<bool>(Removed));
--- a/packages/gateway/src/gateway/peers/Changes.cpp
+++ b/packages/gateway/src/gateway/peers/Changes.cpp
@@ -5,6 +5,7 @@
 #include "gateway/peers/ContactCodec.h"
 #include "gateway/peers/Heartbeat.h"
 #include "gateway/peers/PeerState.h"
+#include "gateway/peers/RevisionCodec.h"
 
 #include <charconv>
 
@@ -35,19 +36,20 @@
   Body["put"] = json::array();
   Body["gone"] = json::array();
   for (const ReplicaChanges::Change &Each : Changes) {
-    if (Each.Replica)
+    if (Each.Replica) {
       Body["put"].push_back(encodeReplica(*Each.Replica));
-    else
-      Body["gone"].push_back(
-          {{"id", Each.Id.value()}, {"rev", Each.RemovedAsOf.value()}});
+      continue;
+    }
+    json Gone = {{"id", Each.Id.value()}};
+    addRevision(Gone, "rev", Each.RemovedAsOf);
+    Body["gone"].push_back(std::move(Gone));
   }
 }
 
 RemovedReplica decodeRemoved(JsonReader &Parent, const json &Item) {
   JsonReader Reader(Item, Parent.pathOf("gone"));
-  RemovedReplica Removed{
-      .Id = ServerName(Reader.string("id")),
-      .Revision = StoreRevision(Reader.integer("rev", 0, UINT64_MAX))};
+  RemovedReplica Removed{.Id = ServerName(Reader.string("id")),
+                         .Revision = readRevision(Reader, "rev")};
   Parent.adopt(Reader);
   return Removed;
 }
@@ -100,7 +102,7 @@
   json Body;
   Body["life"] = IncarnationNumber.value();
   Body["sequence"] = State.replicaChanges().sequence();
-  Body["revision"] = State.replicaRevision().value();
+  addRevision(Body, "revision", State.replicaRevision());
   Body["reads"] = Self.ReadsStore;
   Body["has_replicas"] = State.hasReplicas();
   Body["replica_age_ms"] = State.replicaAge().count();
@@ -142,7 +144,7 @@
   Read.Waited = readAge(Reader, "waited_ms");
   Read.Contact = readContact(Reader);
   Read.Evacuations = readEvacuations(Reader);
-  StoreRevision AsOf(Reader.integer("revision", 0, UINT64_MAX));
+  StoreRevision AsOf = readRevision(Reader, "revision");
   if (Reader.booleanOr("whole", false))
     Read.Replicas =
         ReplicaList{.AsOf = AsOf, .Replicas = decodeReplicas(Reader, "put")};
--- a/packages/gateway/src/gateway/peers/EvacuationCodec.cpp
+++ b/packages/gateway/src/gateway/peers/EvacuationCodec.cpp
@@ -1,6 +1,7 @@
 #include "gateway/peers/EvacuationCodec.h"
 
 #include "gateway/peers/ContactCodec.h"
+#include "gateway/peers/RevisionCodec.h"
 
 #include <nlohmann/json.hpp>
 
@@ -16,8 +17,7 @@
 EvacuatedCentre decodeCentre(JsonReader &Parent, const json &Item) {
   JsonReader Reader(Item, Parent.pathOf(CentresKey));
   EvacuatedCentre Read{.Centre = DataCentre(Reader.string("centre")),
-                       .Revision =
-                           StoreRevision(Reader.integer("rev", 0, UINT64_MAX))};
+                       .Revision = readRevision(Reader, "rev")};
   Parent.adopt(Reader);
   return Read;
 }
@@ -29,13 +29,15 @@
     return;
   EvacuationList List = State.evacuations().list();
   json Report;
-  Report["revision"] = List.AsOf.value();
+  addRevision(Report, "revision", List.AsOf);
   Report["sequence"] = State.evacuationSequence();
   Report["age_ms"] = State.evacuationAge().count();
   Report[CentresKey] = json::array();
-  for (const EvacuatedCentre &Each : List.Centres)
-    Report[CentresKey].push_back(
-        {{"centre", Each.Centre.value()}, {"rev", Each.Revision.value()}});
+  for (const EvacuatedCentre &Each : List.Centres) {
+    json Item = {{"centre", Each.Centre.value()}};
+    addRevision(Item, "rev", Each.Revision);
+    Report[CentresKey].push_back(std::move(Item));
+  }
   Body[ReportKey] = std::move(Report);
 }
 
@@ -44,7 +46,7 @@
     return std::nullopt;
   JsonReader Item(Reader.object(ReportKey), Reader.pathOf(ReportKey));
   EvacuationReport Read;
-  Read.List.AsOf = StoreRevision(Item.integer("revision", 0, UINT64_MAX));
+  Read.List.AsOf = readRevision(Item, "revision");
   Read.Sequence = Item.integer("sequence", 0, UINT64_MAX);
   Read.Age = readAge(Item, "age_ms");
   for (const json &Each : Item.array(CentresKey))
--- a/packages/gateway/src/gateway/peers/Heartbeat.cpp
+++ b/packages/gateway/src/gateway/peers/Heartbeat.cpp
@@ -1,6 +1,7 @@
 #include "gateway/peers/Heartbeat.h"
 
 #include "gateway/peers/ContactCodec.h"
+#include "gateway/peers/RevisionCodec.h"
 #include "gateway/quota/QuotaCodec.h"
 
 #include "coordination/model/JsonReader.h"
@@ -121,9 +122,9 @@
 std::string encodeHeartbeat(const Heartbeat &Sent) {
   json Item = encodeLoadedVm(Sent.Vm);
   Item["config"] = Sent.ConfigVersion;
-  Item["replicas"] = Sent.ReplicaRevision.value();
+  addRevision(Item, "replicas", Sent.ReplicaRevision);
   if (Sent.EvacuationRevision > StoreRevision(0))
-    Item["evacuations"] = Sent.EvacuationRevision.value();
+    addRevision(Item, "evacuations", Sent.EvacuationRevision);
   if (Sent.Presumed > 0)
     Item["presumed"] = Sent.Presumed;
   addContact(Item, Sent.Contact);
@@ -142,14 +143,14 @@
   JsonReader Reader(Item, "");
   Heartbeat Read{.Vm = std::move(*Vm),
                  .ConfigVersion = Reader.integer("config", 0, UINT64_MAX),
-                 .ReplicaRevision =
-                     StoreRevision(Reader.integer("replicas", 0, UINT64_MAX)),
-                 .EvacuationRevision = StoreRevision(
-                     Reader.integerOr("evacuations", 0, UINT64_MAX, 0)),
+                 .ReplicaRevision = readRevision(Reader, "replicas"),
+                 .EvacuationRevision = {},
                  .Presumed = Reader.integerOr("presumed", 0, UINT32_MAX, 0),
                  .Contact = readContact(Reader),
                  .Allocator = {},
                  .SlowAnswers = decodeSlowAnswers(Item)};
+  if (Reader.has("evacuations"))
+    Read.EvacuationRevision = readRevision(Reader, "evacuations");
   if (Reader.has("allocator"))
     Read.Allocator = decodeAllocator(Item["allocator"]);
   if (Reader.error())
--- a/packages/gateway/src/gateway/peers/PeerState.cpp
+++ b/packages/gateway/src/gateway/peers/PeerState.cpp
@@ -3,6 +3,7 @@
 #include "coordination/model/JsonText.h"
 #include "gateway/peers/ContactCodec.h"
 #include "gateway/peers/Heartbeat.h"
+#include "gateway/peers/RevisionCodec.h"
 
 namespace carawaypond::gateway {
 
@@ -27,7 +28,8 @@
       static_cast<std::int64_t>(Reader.integer("warmup_ms", 0, MaxWarmupMs)));
   Record.StartedAt =
       static_cast<std::int64_t>(Reader.integer("started_ms", 0, INT64_MAX));
-  Replica.Revision = StoreRevision(Reader.integer("rev", 0, UINT64_MAX));
+  Replica.Revision = readRevision(Reader, "rev");
+  Replica.IsHeldLeaving = Reader.booleanOr("held", false);
   if (Reader.booleanOr("presumed", false))
     Replica.Evidence = ReplicaEvidence::Presumed;
   return Replica;
@@ -46,9 +48,11 @@
   Item["leaving"] = Record.State == ReplicaState::Leaving;
   Item["warmup_ms"] = Record.WarmupLeft.count();
   Item["started_ms"] = Record.StartedAt;
-  Item["rev"] = Replica.Revision.value();
+  addRevision(Item, "rev", Replica.Revision);
   if (Replica.Evidence == ReplicaEvidence::Presumed)
     Item["presumed"] = true;
+  if (Replica.IsHeldLeaving)
+    Item["held"] = true;
   return Item;
 }
 
@@ -66,7 +70,7 @@
 std::string encodePeerState(const FleetState &State, const VmRecord &Self) {
   json Body;
   Body["config"] = State.configDocument();
-  Body["replica_revision"] = State.replicaRevision().value();
+  addRevision(Body, "replica_revision", State.replicaRevision());
   addProofAge(Body, State.configProofAge());
   addContact(Body, State.storeContact());
   addEvacuations(Body, State);
@@ -84,8 +88,7 @@
   json Body = parseJsonText(Text);
   JsonReader Reader(Body, "");
   PeerState State;
-  State.Replicas.AsOf =
-      StoreRevision(Reader.integer("replica_revision", 0, UINT64_MAX));
+  State.Replicas.AsOf = readRevision(Reader, "replica_revision");
   State.Replicas.Replicas = decodeReplicas(Reader, "replicas");
   State.ProofAge = readProofAge(Reader);
   State.Contact = readContact(Reader);
--- a/packages/gateway/src/gateway/quota/QuotaCodec.cpp
+++ b/packages/gateway/src/gateway/quota/QuotaCodec.cpp
@@ -42,6 +42,8 @@
     Item["settled"] = true;
   if (Record.IsReleased)
     Item["released"] = true;
+  if (Record.Era > StoreEra(0))
+    Item["era"] = Record.Era.value();
   Item["renewal"] = Record.Renewal;
   return Item;
 }
@@ -55,6 +57,7 @@
       .Term = Reader.integer("term", 1, UINT64_MAX - 1),
       .IsSettled = Reader.booleanOr("settled", false),
       .IsReleased = Reader.booleanOr("released", false),
+      .Era = StoreEra(Reader.integerOr("era", 0, UINT64_MAX, 0)),
       .Renewal = Reader.integerOr("renewal", 0, UINT64_MAX - 1, 0)};
   if (Reader.error())
     return std::nullopt;
--- a/packages/gateway/src/gateway/quota/QuotaService.cpp
+++ b/packages/gateway/src/gateway/quota/QuotaService.cpp
@@ -129,7 +129,7 @@
   TimePoint Deadline = monotonicNow() + StoreTimeout;
   auto Read = co_await m_Store.get(LeaseKind, LeaseName, Deadline);
   if (!Read && Read.error().Code == ErrorCode::NotFound) {
-    m_Lease.onRead(std::nullopt, bootNow());
+    m_Lease.onRead(std::nullopt, m_Store.era(), bootNow());
     co_return;
   }
   auto Record = Read ? decodeAllocator(Read.value().Content) : std::nullopt;
@@ -139,7 +139,8 @@
   }
   StoredAllocator Found{.Record = std::move(*Record),
                         .Revision = Read.value().Revision};
-  m_Lease.onRead(std::move(Found), bootNow());
+  StoreEra Era = Found.Revision.era();
+  m_Lease.onRead(std::move(Found), Era, bootNow());
 }
 
 awaitable<void> QuotaService::writeLease(WriteLease Action) {
@@ -150,11 +151,11 @@
     m_Lease.onCallFailed(bootNow());
 }
 
-awaitable<std::optional<std::uint64_t>>
+awaitable<std::optional<StoreRevision>>
 QuotaService::sendWrite(WriteLease Action) {
   TimePoint Deadline = monotonicNow() + StoreTimeout;
   nlohmann::json Content = encodeAllocator(Action.Record);
-  std::optional<std::uint64_t> Written;
+  std::optional<StoreRevision> Written;
   if (Action.Revision) {
     auto Stored = co_await m_Store.replaceIf(
         LeaseKind, LeaseName, std::move(Content), *Action.Revision, Deadline);
--- a/packages/gateway/src/gateway/quota/QuotaService.h
+++ b/packages/gateway/src/gateway/quota/QuotaService.h
@@ -74,7 +74,7 @@
   boost::asio::awaitable<void> readLease();
   boost::asio::awaitable<void> writeLease(WriteLease Action);
   /// @return The revision of the lease that was written, if that is certain.
-  boost::asio::awaitable<std::optional<std::uint64_t>>
+  boost::asio::awaitable<std::optional<StoreRevision>>
   sendWrite(WriteLease Action);
 
   boost::asio::io_context &m_Context;
--- a/packages/gateway/test/gateway/control/FleetStateTest.cpp
+++ b/packages/gateway/test/gateway/control/FleetStateTest.cpp
@@ -77,3 +77,36 @@
   CHECK(Made.proves(ReaderSource));
   CHECK(Made.proves(PeerSource));
 }
+
+TEST_CASE("CONFIG: a store that has just come back from a copy proves no "
+          "configuration") {
+  // Guards against keys that are trusted although the store has lost the
+  // version that revoked them.
+  Fixture Made;
+  TimePoint Now = monotonicNow();
+  Made.State.onStoreAnswered(Now, StoreEra(1));
+  REQUIRE(Made.State.applyConfig(parsedConfig(1), StoreSource));
+  REQUIRE(Made.State.applyConfig(parsedConfig(2), StoreSource));
+  REQUIRE(Made.proves(StoreSource));
+  SUBCASE("it may lack a version that nobody knows") {
+    Made.State.onStoreAnswered(Now, StoreEra(2));
+    REQUIRE(Made.State.applyConfig(parsedConfig(2), StoreSource));
+    CHECK_FALSE(Made.proves(StoreSource));
+    CHECK(Made.proves(PeerSource));
+  }
+  SUBCASE("it lacks the version in force") {
+    REQUIRE(Made.State.applyConfig(parsedConfig(1), StoreSource));
+    CHECK(Made.State.configVersion() == 2);
+    CHECK_FALSE(Made.proves(StoreSource));
+    REQUIRE(Made.State.applyConfig(parsedConfig(2), StoreSource));
+    CHECK(Made.proves(StoreSource));
+  }
+  SUBCASE("it lacks a version that another VM has") {
+    Made.State.onConfigHeard(3);
+    CHECK_FALSE(Made.proves(StoreSource));
+    REQUIRE(Made.State.applyConfig(parsedConfig(3), PeerSource));
+    CHECK_FALSE(Made.proves(StoreSource));
+    REQUIRE(Made.State.applyConfig(parsedConfig(3), StoreSource));
+    CHECK(Made.proves(StoreSource));
+  }
+}
