A request that ends the replicas that run it goes into quarantine

Callers sent one request again and again, under other ids and to any VM; each replica that began to run it ended.

Cause: VMs judge replicas, and nothing remembers what a request did to them. Each try was a new request, and no VM saw more than a few.

Class: knowledge about a replica where the request is at fault. Change: a replica that closes its connection under a request is checked by a new connection; one that refuses it has ended. VMs tell each other which replicas ended under which content (method, host, path, query, workspace, body). After the third such requests are rejected at once, as not run, for 30 s, and twice as long after each further end. A replica that survives the content clears it, and ends at one moment count as one, so that requests beside it are not blamed. State is bounded. Within one request, after three losses and no answer nothing is sent again, as a query over many shards would end the second replica of each.

Logs: replica_ended with the content's hash, which tells repeats from other requests; request_quarantined; metrics replicas_ended_total, requests_quarantined, quarantine_refused_total.

--- a/packages/coordination/src/coordination/refusal/RefusalReason.h
+++ b/packages/coordination/src/coordination/refusal/RefusalReason.h
@@ -11,6 +11,7 @@
   /// This VM can't tell whether the request's key has been revoked.
   KeyUnproven,
   QuotaUnavailable, ///< This VM can't tell whether the quota is used up.
+  EndsReplicas,     ///< Replicas have ended when they ran such a request.
 };
 
 } // namespace carawaypond
--- a/packages/coordination/src/coordination/refusal/RetryAdvice.cpp
+++ b/packages/coordination/src/coordination/refusal/RetryAdvice.cpp
@@ -36,6 +36,7 @@
     return m_Options.ImmediateDelay;
   case RefusalReason::NotReady:
   case RefusalReason::NoReplica:
+  case RefusalReason::EndsReplicas:
     return std::max(Longest, m_Options.ImmediateDelay);
   case RefusalReason::ReplicasBusy:
     break;
--- a/packages/coordination/src/coordination/run/RequestRun.h
+++ b/packages/coordination/src/coordination/run/RequestRun.h
@@ -50,7 +50,8 @@
 ///
 /// Handles requests to many shards whose replicas pause, fail or refuse: a late
 /// attempt is hedged within the budget, and the request is answered before its
-/// latency objective if enough shards have answered and the others are late.
+/// latency objective if enough shards have answered and the others are late. A
+/// request under which one replica after the other is lost goes to no more.
 /// Emits exactly one of AnswerParts, RelayReply, RefuseRequest and FailRequest,
 /// unless the caller disconnects first.
 class RequestRun {
@@ -93,6 +94,8 @@
   RunActions onEnded(SubrequestId Id, AttemptResult How, TimePoint Now);
   RunActions onTick(TimePoint Now);
   RunActions onCallerGone(TimePoint Now);
+  /// @brief Sends nothing more: replicas end when they run the request.
+  void stopSending() { m_MaySend = false; }
   /// @brief Ends the request, as this VM exits.
   RunActions onStopping(TimePoint Now);
 
@@ -122,6 +125,8 @@
   /// @return Whether an attempt has reached a replica or still may.
   [[nodiscard]] static bool mayHaveArrived(const Target &At);
   [[nodiscard]] bool maySendAgain(const Target &Of) const;
+  /// @return Whether several replicas were lost and none has served.
+  [[nodiscard]] bool mayEndReplicas() const;
   /// @return Whether the attempt's replica may still get requests.
   [[nodiscard]] bool isUsable(const Target &Of, const Attempt &Made,
                               TimePoint Now) const;
@@ -164,6 +169,7 @@
   TimePoint m_Deadline;
   std::uint64_t m_NextId;
   std::vector<Target> m_Targets;
+  bool m_MaySend = true;
   bool m_WasBudgetExhausted = false;
   bool m_IsAnswered = false;
   std::optional<LoadSample> m_LoadSample;
--- a/packages/gateway/src/gateway/app/Gateway.cpp
+++ b/packages/gateway/src/gateway/app/Gateway.cpp
@@ -73,6 +73,8 @@
   [[nodiscard]] LoadedVm describe() const;
   [[nodiscard]] VmLoad load() const;
   [[nodiscard]] Heartbeat beat() const;
+  /// @return What other VMs should know of requests that end replicas, now.
+  [[nodiscard]] std::vector<QuarantineReport> quarantine() const;
   void publish(std::shared_ptr<const TrafficView> View);
   void proveConfig(BootTime AsOf);
   void followAllocator(std::optional<AllocatorRecord> Allocator);
@@ -86,6 +88,10 @@
   void collectSlowAnswers();
   /// @brief Tells the traffic thread what another VM reports.
   void onSlowAnswers(const Heartbeat &Heard);
+  /// @brief Has other VMs told of requests that end replicas.
+  void tellQuarantine(std::vector<QuarantineReport> Reports, bool IsUrgent);
+  /// @brief Tells the traffic thread what another VM reports.
+  void onQuarantine(const Heartbeat &Heard);
   /// @brief Tells the traffic thread when another VM sees a high demand.
   void tellFleetDemand();
 
@@ -124,6 +130,8 @@
   bool m_IsFleetDemandHigh = false;
   std::vector<SlowAnswer> m_SlowAnswers; ///< Ages as of m_SlowAnswersAt.
   TimePoint m_SlowAnswersAt;
+  std::vector<QuarantineReport> m_Quarantine; ///< Ages as of m_QuarantineAt.
+  TimePoint m_QuarantineAt;
   TimePoint m_SlowAskedAt;             ///< Of the last collection.
   std::atomic<std::size_t> m_Busy = 1; ///< Last value of CallerService::busy().
 };
@@ -164,6 +172,7 @@
             m_Fetcher.onHeartbeat(Heard);
             m_Quota.onHeartbeat(Heard.Allocator);
             onSlowAnswers(Heard);
+            onQuarantine(Heard);
           }),
       m_Registration(m_ControlIo, m_Store, m_State, m_Log, record(), m_Follow,
                      [this] { m_Heartbeats.sendToTargets(); }),
@@ -186,6 +195,13 @@
     m_Evacuations.emplace(m_ControlIo, m_Store, m_State, m_Health, m_Role,
                           m_Follow, EvacuationSink(m_State, m_Log));
   }
+  m_Callers.onQuarantineChanged(
+      [this](std::vector<QuarantineReport> Reports, bool IsUrgent) {
+        asio::post(m_ControlIo,
+                   [this, Reports = std::move(Reports), IsUrgent]() mutable {
+                     tellQuarantine(std::move(Reports), IsUrgent);
+                   });
+      });
   if (m_Settings.RevocationBound)
     m_State.onProof([this](BootTime AsOf) { proveConfig(AsOf); });
 }
@@ -215,6 +231,19 @@
   return Self;
 }
 
+std::vector<QuarantineReport> Gateway::Impl::quarantine() const {
+  auto Passed =
+      std::chrono::duration_cast<Milliseconds>(monotonicNow() - m_QuarantineAt);
+  std::vector<QuarantineReport> Reports = m_Quarantine;
+  for (QuarantineReport &Each : Reports) {
+    for (ReplicaCrash &Crash : Each.Crashes)
+      Crash.Age += Passed;
+    if (Each.SurvivedAge)
+      *Each.SurvivedAge += Passed;
+  }
+  return Reports;
+}
+
 Heartbeat Gateway::Impl::beat() const {
   std::vector<SlowAnswer> Slow = m_SlowAnswers;
   for (SlowAnswer &Each : Slow)
@@ -227,7 +256,8 @@
           .Presumed = m_State.replicas().presumed(),
           .Contact = m_State.storeContact(),
           .Allocator = m_Quota.newest(),
-          .SlowAnswers = std::move(Slow)};
+          .SlowAnswers = std::move(Slow),
+          .Quarantine = quarantine()};
 }
 
 Result<void> Gateway::Impl::open() {
@@ -368,6 +398,22 @@
              });
 }
 
+void Gateway::Impl::tellQuarantine(std::vector<QuarantineReport> Reports,
+                                   bool IsUrgent) {
+  m_Quarantine = std::move(Reports);
+  m_QuarantineAt = monotonicNow();
+  if (IsUrgent)
+    m_Heartbeats.sendToTargets();
+}
+
+void Gateway::Impl::onQuarantine(const Heartbeat &Heard) {
+  if (Heard.Quarantine.empty())
+    return;
+  asio::post(m_TrafficIo, [this, Told = Heard.Quarantine] {
+    m_Callers.onQuarantineReports(Told);
+  });
+}
+
 void Gateway::Impl::tick() {
   m_AttemptRate.sample(m_Counters.Attempts, monotonicNow());
   m_State.tick();
--- a/packages/gateway/src/gateway/app/MetricsText.cpp
+++ b/packages/gateway/src/gateway/app/MetricsText.cpp
@@ -34,6 +34,9 @@
   addLine(Text, "demand_high", Counters.DemandHigh);
   addLine(Text, "callers_gone_total", Counters.CallersGone);
   addLine(Text, "callers_over_work_total", Counters.CallersOverWork);
+  addLine(Text, "replicas_ended_total", Counters.ReplicasEnded);
+  addLine(Text, "requests_quarantined", Counters.Quarantined);
+  addLine(Text, "quarantine_refused_total", Counters.QuarantineRefused);
   addLine(Text, "attempts_total", Counters.Attempts);
   addLine(Text, "attempts_extra_total", Counters.ExtraAttempts);
   addLine(Text, "attempts_refused_total", Counters.AttemptsRefused);
--- a/packages/gateway/src/gateway/peers/Heartbeat.cpp
+++ b/packages/gateway/src/gateway/peers/Heartbeat.cpp
@@ -1,6 +1,7 @@
 #include "gateway/peers/Heartbeat.h"
 
 #include "gateway/peers/ContactCodec.h"
+#include "gateway/peers/QuarantineCodec.h"
 #include "gateway/peers/RevisionCodec.h"
 #include "gateway/quota/QuotaCodec.h"
 
@@ -132,6 +133,7 @@
     Item["allocator"] = encodeAllocator(*Sent.Allocator);
   if (!Sent.SlowAnswers.empty())
     Item["slow"] = encodeSlowAnswers(Sent.SlowAnswers);
+  addQuarantine(Item, Sent.Quarantine);
   return Item.dump();
 }
 
@@ -148,7 +150,8 @@
                  .Presumed = Reader.integerOr("presumed", 0, UINT32_MAX, 0),
                  .Contact = readContact(Reader),
                  .Allocator = {},
-                 .SlowAnswers = decodeSlowAnswers(Item)};
+                 .SlowAnswers = decodeSlowAnswers(Item),
+                 .Quarantine = readQuarantine(Item)};
   if (Reader.has("evacuations"))
     Read.EvacuationRevision = readRevision(Reader, "evacuations");
   if (Reader.has("allocator"))
--- a/packages/gateway/src/gateway/peers/Heartbeat.h
+++ b/packages/gateway/src/gateway/peers/Heartbeat.h
@@ -2,6 +2,7 @@
 
 #include "coordination/fleet/VmLoad.h"
 #include "coordination/placement/SlowAnswer.h"
+#include "coordination/quarantine/QuarantineReport.h"
 #include "coordination/quota/AllocatorRecord.h"
 #include "coordination/replicas/ContactAge.h"
 #include "core/id/Ids.h"
@@ -32,6 +33,8 @@
   std::optional<AllocatorRecord> Allocator;
   /// The sender's slow answers; empty unless VMs report them.
   std::vector<SlowAnswer> SlowAnswers;
+  /// Requests that end replicas.
+  std::vector<QuarantineReport> Quarantine;
 };
 
 [[nodiscard]] std::string encodeHeartbeat(const Heartbeat &Sent);
--- a/packages/gateway/src/gateway/pool/Exchange.h
+++ b/packages/gateway/src/gateway/pool/Exchange.h
@@ -14,6 +14,8 @@
 struct ExchangeFailure {
   bool WasSent = true; ///< Whether some of it may have reached the replica.
   bool IsWithdrawn = false; ///< Not sent, because MaySend returned false.
+  /// The replica closed or reset the connection before its answer was whole.
+  bool IsConnectionLost = false;
   /// Closed, as the answer cost far more work than its bytes carry.
   bool IsOverWork = false;
   std::string Why;
--- a/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <array>
 
@@ -141,7 +142,7 @@
         if (Self->m_IsDropped)
           return Self->fail(true, TooLarge);
         if (Failed)
-          return Self->fail(true, Failed.message());
+          return Self->failRead(Failed);
         Self->read();
       });
 }
@@ -154,7 +155,7 @@
     Verdict =
         m_Reader.read(m_Socket, m_Buffer, *m_Parser, monotonicNow(), Failed);
     if (Failed && Failed != boost::asio::error::would_block)
-      return fail(true, Failed.message());
+      return failRead(Failed);
     if (Verdict == http::WorkVerdict::Close)
       return failOverWork();
     if (!m_Reservation->tryGrow(answerBytes()))
@@ -245,6 +246,15 @@
   fail(ExchangeFailure{.WasSent = WasSent, .Why = Why});
 }
 
+void ReplicaConnection::failRead(const error_code &Cause) {
+  namespace beast_http = boost::beast::http;
+  bool IsLost = Cause == beast_http::error::end_of_stream ||
+                Cause == beast_http::error::partial_message ||
+                Cause == boost::asio::error::eof ||
+                Cause == boost::asio::error::connection_reset;
+  fail(ExchangeFailure{.IsConnectionLost = IsLost, .Why = Cause.message()});
+}
+
 void ReplicaConnection::failOverWork() {
   fail(ExchangeFailure{.IsOverWork = true, .Why = OverWork});
 }
--- a/packages/gateway/src/gateway/pool/ReplicaConnection.h
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.h
@@ -76,6 +76,8 @@
   /// @brief Ends the current request unsent; the connection stays usable.
   void withdraw();
   void fail(bool WasSent, const std::string &Why);
+  /// @brief Ends the current request, whose answer could not be read.
+  void failRead(const boost::system::error_code &Cause);
   /// @brief Ends the current request, whose answer costs too much work.
   void failOverWork();
   void fail(ExchangeFailure How);
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
@@ -3,6 +3,7 @@
 #include "adapter/ReplyCodec.h"
 #include "adapter/RequestCodec.h"
 #include "coordination/records/GreatestRecords.h"
+#include "gateway/traffic/RequestContent.h"
 #include "gateway/traffic/RequestLog.h"
 #include "http/ErrorResponse.h"
 
@@ -194,6 +195,8 @@
     Attempt->ErrorText = Failure->Why;
     if (Failure->IsOverWork)
       onOverWork(*Attempt);
+    if (Failure->IsConnectionLost)
+      checkEnd(*Attempt);
     return end(Id, resultOf(*Failure));
   }
   Attempt->Reply = std::move(std::get<adapter::ReplicaReply>(How));
@@ -202,6 +205,50 @@
   end(Id, classify(*Attempt->Reply));
 }
 
+void ActiveRequest::checkEnd(const AttemptState &Attempt) {
+  if (!Attempt.Pool)
+    return;
+  const ServerName &Replica = Attempt.Started.Replica;
+  const ReplicaTracker *Gauge =
+      m_Shared.Fleet.service(Attempt.Started.Service).find(Replica);
+  std::int64_t StartedAt = Gauge == nullptr ? 0 : Gauge->record().StartedAt;
+  m_Shared.Ends.check(
+      Attempt.Pool->remote(),
+      [Self = shared_from_this(), Replica, StartedAt, At = monotonicNow()] {
+        Self->onReplicaEnded(Replica, StartedAt, At);
+      });
+}
+
+bool ActiveRequest::wasSurvived() const {
+  return std::any_of(m_Attempts.begin(), m_Attempts.end(),
+                     [](const AttemptState &Each) {
+                       return Each.Ended == AttemptResult::Served ||
+                              Each.Ended == AttemptResult::ServerFailed;
+                     });
+}
+
+void ActiveRequest::onReplicaEnded(const ServerName &Replica,
+                                   std::int64_t StartedAt, TimePoint At) {
+  ++m_Shared.Counters.ReplicasEnded;
+  if (wasSurvived())
+    return;
+  m_Shared.Log.write(describeEnd(Replica, m_Asked, m_Run.route().Name));
+  ContentHash Content = contentOf(m_Asked);
+  TimePoint Now = monotonicNow();
+  bool IsNew =
+      m_Shared.Quarantine.onCrash(Content, hashOfReplica(Replica, StartedAt),
+                                  hashOfRequest(m_Asked.Id), At, Now);
+  if (m_Shared.Quarantine.holds(Content, Now))
+    m_Run.stopSending();
+  if (IsNew) {
+    LogLine Line("request_quarantined");
+    Line.add("content", Content.value());
+    Line.add("route", m_Run.route().Name);
+    m_Shared.Log.write(Line);
+  }
+  m_Shared.OnCrash();
+}
+
 void ActiveRequest::onOverWork(const AttemptState &Attempt) {
   ++m_Shared.Counters.AttemptsOverWork;
   if (Attempt.Pool && Attempt.Pool->noteOverWork(monotonicNow()))
@@ -237,6 +284,10 @@
     ++m_Shared.Counters.AttemptsLost;
   if (How == AttemptResult::Abandoned)
     ++m_Shared.Counters.AttemptsAbandoned;
+  bool IsSurvived =
+      How == AttemptResult::Served || How == AttemptResult::ServerFailed;
+  if (IsSurvived && !m_Shared.Quarantine.isEmpty())
+    m_Shared.Quarantine.onSurvived(contentOf(m_Asked), Now);
   apply(m_Run.onEnded(Id, How, Now));
 }
 
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.h
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "adapter/CallerRequest.h"
+#include "coordination/quarantine/RequestQuarantine.h"
 #include "coordination/run/RequestRun.h"
 #include "gateway/log/EventLog.h"
 #include "gateway/metrics/LatencyMetrics.h"
 #include "gateway/pool/Exchange.h"
 #include "gateway/traffic/AttemptState.h"
+#include "gateway/traffic/EndDetector.h"
 #include "gateway/traffic/ReplicaLinks.h"
 #include "gateway/traffic/TrafficCounters.h"
 #include "http/Response.h"
@@ -14,6 +16,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -28,6 +32,10 @@
   TrafficCounters &Counters;
   LatencyMetrics &Latencies;
   EventLog &Log;
+  RequestQuarantine &Quarantine;
+  EndDetector &Ends;
+  /// Called when a replica has ended under a request.
+  std::function<void()> OnCrash;
 };
 
 /// @brief One request of a caller: carries out the actions that its RequestRun
@@ -69,6 +77,14 @@
   /// @brief Takes in what the attempt's replica says about itself.
   void onNotice(const AttemptState &Attempt, const ReplicaNotice &Told);
   void onExchange(SubrequestId Id, ExchangeResult How);
+  /// @brief Finds out whether the attempt's replica, which closed its
+  /// connection, has ended.
+  void checkEnd(const AttemptState &Attempt);
+  /// @brief Handles a replica that ended at @p At while it ran the request.
+  void onReplicaEnded(const ServerName &Replica, std::int64_t StartedAt,
+                      TimePoint At);
+  /// @return Whether a replica lived on after it ran the request.
+  [[nodiscard]] bool wasSurvived() const;
   /// @brief Counts an answer that cost too much work, and logs its replica.
   void onOverWork(const AttemptState &Attempt);
   /// @brief Frees what a merged answer does not need of a shard's answer.
--- a/packages/gateway/src/gateway/traffic/CallerService.cpp
+++ b/packages/gateway/src/gateway/traffic/CallerService.cpp
@@ -2,8 +2,10 @@
 
 #include "adapter/ReplyCodec.h"
 #include "adapter/RequestCodec.h"
+#include "gateway/peers/QuarantineCodec.h"
 #include "gateway/traffic/ActiveRequest.h"
 #include "gateway/traffic/CallerIdentity.h"
+#include "gateway/traffic/RequestContent.h"
 #include "gateway/traffic/RequestLog.h"
 #include "http/ErrorResponse.h"
 
@@ -75,7 +77,7 @@
       m_Picker(randomShare()), m_Proof(m_Options.RevocationBound),
       m_Quota(Context, QuotaHolder(m_Options.Vm, m_Options.IncarnationNumber),
               std::move(QuotaReport)),
-      m_Admission(Context, Counters, Log),
+      m_Admission(Context, Counters, Log), m_Ends(Context),
       m_View(std::make_shared<TrafficView>()), m_SweepTimer(Context) {}
 
 Result<void> CallerService::start() {
@@ -133,6 +135,25 @@
   m_Fleet.onSlowAnswers(From, Told, monotonicNow());
 }
 
+void CallerService::onQuarantineReports(
+    const std::vector<QuarantineReport> &Told) {
+  for (const QuarantineReport &Each : Told)
+    m_Quarantine.onReport(Each, monotonicNow());
+}
+
+bool CallerService::isQuarantined(const adapter::CallerRequest &Asked) const {
+  return !m_Quarantine.isEmpty() &&
+         m_Quarantine.holds(contentOf(Asked), monotonicNow());
+}
+
+void CallerService::publishQuarantine(bool IsUrgent) {
+  auto Reports = m_Quarantine.reports(MaxQuarantineReports, monotonicNow());
+  bool IsChange = !Reports.empty() || m_HasQuarantineReports;
+  m_HasQuarantineReports = !Reports.empty();
+  if (m_OnQuarantine && IsChange)
+    m_OnQuarantine(std::move(Reports), IsUrgent);
+}
+
 void CallerService::beginLeaving() { m_Listener->setDraining(true); }
 
 void CallerService::closeIdle() {
@@ -159,6 +180,9 @@
   noteOverWork(Now);
   m_Quota.callIfDue();
   m_Admission.update();
+  m_Quarantine.expire(Now);
+  m_Counters.Quarantined = m_Quarantine.count(Now);
+  publishQuarantine(false);
   m_SweepTimer.expires_after(SweepInterval);
   m_SweepTimer.async_wait([this](boost::system::error_code Stopped) {
     if (Stopped)
@@ -264,6 +288,10 @@
   Access Given = identifyCaller(*Table, *Chosen, Request);
   if (auto Denied = deny(Request, Given))
     co_return std::move(*Denied);
+  if (isQuarantined(Request)) {
+    ++m_Counters.QuarantineRefused;
+    co_return refuse(Request, RefusalReason::EndsReplicas);
+  }
   QuotaAdmission Quota = co_await spendQuota(Request, *Chosen, Given.Caller);
   if (Quota.Result != QuotaResult::Granted)
     co_return refuseQuota(Request, *Given.Caller, Quota.Result);
@@ -325,7 +353,10 @@
                         .Links = m_Links,
                         .Counters = m_Counters,
                         .Latencies = m_Latencies,
-                        .Log = m_Log};
+                        .Log = m_Log,
+                        .Quarantine = m_Quarantine,
+                        .Ends = m_Ends,
+                        .OnCrash = [this] { publishQuarantine(true); }};
   auto Active = std::make_shared<ActiveRequest>(
       Parts, std::move(Asked), std::move(Plan), First, m_Options.Run);
   m_NextAttempt += Active->maxAttempts();
--- a/packages/gateway/src/gateway/traffic/CallerService.h
+++ b/packages/gateway/src/gateway/traffic/CallerService.h
@@ -2,6 +2,7 @@
 
 #include "adapter/CallerRequest.h"
 #include "coordination/placement/ReplicaFleet.h"
+#include "coordination/quarantine/RequestQuarantine.h"
 #include "coordination/refusal/RetryAdvice.h"
 #include "coordination/revocation/ConfigProof.h"
 #include "coordination/routing/WeightedPicker.h"
@@ -13,6 +14,7 @@
 #include "gateway/overload/AdmissionGate.h"
 #include "gateway/quota/QuotaGate.h"
 #include "gateway/traffic/CallerTimeoutTracker.h"
+#include "gateway/traffic/EndDetector.h"
 #include "gateway/traffic/ReplicaLinks.h"
 #include "gateway/traffic/TrafficCounters.h"
 #include "gateway/traffic/TrafficOptions.h"
@@ -25,9 +27,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_set>
+#include <utility>
+#include <vector>
 
 namespace carawaypond::gateway {
 
@@ -35,6 +40,9 @@
 /// by the traffic thread only.
 class CallerService {
 public:
+  using OnQuarantine =
+      std::function<void(std::vector<QuarantineReport>, bool IsUrgent)>;
+
   /// @param QuotaReport See QuotaGate.
   CallerService(boost::asio::io_context &Context, TrafficOptions Options,
                 TrafficCounters &Counters, LatencyMetrics &Latencies,
@@ -63,6 +71,13 @@
   [[nodiscard]] std::vector<SlowAnswer> slowAnswers() const;
   /// @brief Takes in the slow answers that another VM reports.
   void onSlowAnswers(const VmName &From, const std::vector<SlowAnswer> &Told);
+  /// @brief Takes in what another VM knows of requests that end replicas.
+  void onQuarantineReports(const std::vector<QuarantineReport> &Told);
+  /// @param Changed Called with what other VMs should know: at intervals, and
+  /// at once, as IsUrgent says, when a replica has ended.
+  void onQuarantineChanged(OnQuarantine Changed) {
+    m_OnQuarantine = std::move(Changed);
+  }
   /// @brief Starts draining: answers announce the close of their connection.
   void beginLeaving();
   /// @brief Stops accepting connections and closes the idle ones.
@@ -120,6 +135,10 @@
   http::Response refuse(const adapter::CallerRequest &Asked, RefusalReason Why,
                         RetryAdvice &Advice, Milliseconds Patience);
   void applyLimits();
+  /// @return Whether replicas end when they run such a request.
+  [[nodiscard]] bool isQuarantined(const adapter::CallerRequest &Asked) const;
+  /// @brief Tells the control thread of the requests that end replicas.
+  void publishQuarantine(bool IsUrgent);
   void sweep();
   /// @brief Counts and logs callers whose requests cost too much work.
   void noteOverWork(TimePoint Now);
@@ -141,6 +160,10 @@
   ConfigProof m_Proof;
   QuotaGate m_Quota;
   AdmissionGate m_Admission;
+  RequestQuarantine m_Quarantine;
+  EndDetector m_Ends;
+  OnQuarantine m_OnQuarantine;
+  bool m_HasQuarantineReports = false; ///< In the last call of m_OnQuarantine.
   std::shared_ptr<const TrafficView> m_View;
   std::unique_ptr<http::Listener> m_Listener;
   std::unordered_set<std::shared_ptr<ActiveRequest>> m_Active;
--- a/packages/gateway/src/gateway/traffic/RequestLog.cpp
+++ b/packages/gateway/src/gateway/traffic/RequestLog.cpp
@@ -1,5 +1,7 @@
 #include "gateway/traffic/RequestLog.h"
 
+#include "gateway/traffic/RequestContent.h"
+
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -100,6 +102,8 @@
     return "key_unproven";
   case RefusalReason::QuotaUnavailable:
     return "quota_unavailable";
+  case RefusalReason::EndsReplicas:
+    return "ends_replicas";
   }
   return "unknown";
 }
@@ -143,6 +147,17 @@
   return Line;
 }
 
+LogLine describeEnd(const ServerName &Replica,
+                    const adapter::CallerRequest &Asked,
+                    std::string_view Route) {
+  LogLine Line("replica_ended");
+  Line.add("replica", Replica.value());
+  Line.add("request", Asked.Id);
+  Line.add("content", contentOf(Asked).value());
+  Line.add("route", Route);
+  return Line;
+}
+
 LogLine describeOverWork(const ServerName &Replica) {
   LogLine Line("replica_over_work");
   Line.add("replica", Replica.value());
--- a/packages/gateway/src/gateway/traffic/RequestLog.h
+++ b/packages/gateway/src/gateway/traffic/RequestLog.h
@@ -27,6 +27,12 @@
 [[nodiscard]] LogLine describeNotRun(const adapter::CallerRequest &Asked,
                                      std::string_view Reason);
 
+/// @return The log line of a replica that ended while it ran the request.
+/// Requests with the same content have other ids.
+[[nodiscard]] LogLine describeEnd(const ServerName &Replica,
+                                  const adapter::CallerRequest &Asked,
+                                  std::string_view Route);
+
 /// @return The log line of a replica whose answer cost far more work than its
 /// bytes carry.
 [[nodiscard]] LogLine describeOverWork(const ServerName &Replica);
--- a/packages/gateway/src/gateway/traffic/TrafficCounters.h
+++ b/packages/gateway/src/gateway/traffic/TrafficCounters.h
@@ -30,7 +30,10 @@
   /// Connections of callers that were closed, as a request cost far more work
   /// than its bytes carry.
   Counter CallersOverWork = 0;
-  Counter DemandHigh = 0; ///< 1 while callers ask for much more than usual.
+  Counter DemandHigh = 0;    ///< 1 while callers ask for much more than usual.
+  Counter ReplicasEnded = 0; ///< Attempts under which a replica ended.
+  Counter Quarantined = 0;   ///< Contents in quarantine, at present.
+  Counter QuarantineRefused = 0; ///< Requests refused as in quarantine.
   Counter Attempts = 0;
   Counter ExtraAttempts = 0; ///< Hedges and retries.
   Counter AttemptsRefused = 0;
--- a/packages/gateway/test/gateway/FakeSite.cpp
+++ b/packages/gateway/test/gateway/FakeSite.cpp
@@ -16,6 +16,8 @@
 
 constexpr auto AsTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
 constexpr const char *AnyPort = "127.0.0.1:0";
+/// Longer than it takes to close the connections of a replica that has ended.
+constexpr Milliseconds AnswerAfterEnd{1'000};
 
 } // namespace
 
@@ -119,10 +121,14 @@
   Added.Id = "i-" + std::to_string(m_Replicas.size());
   Added.Service = Service;
   Added.Listener =
-      listen([&Added](http::Request Asked) -> awaitable<http::Response> {
+      listen([this, &Added](http::Request Asked) -> awaitable<http::Response> {
         ++Added.Arrivals;
         Added.LastArrival = monotonicNow();
         http::Response Answer = Added.Answer(Asked);
+        if (Added.HasEnded) {
+          boost::asio::steady_timer NoAnswer(m_Context, AnswerAfterEnd);
+          co_await NoAnswer.async_wait(AsTuple);
+        }
         co_return Answer;
       });
   Added.Address = Added.Listener->address();
@@ -140,6 +146,12 @@
   return Added;
 }
 
+void FakeSite::end(Replica &Ended) {
+  Ended.HasEnded = true;
+  // Not within the call of its handler.
+  boost::asio::post(m_Context, [&Ended] { Ended.Listener.reset(); });
+}
+
 void FakeSite::put(const std::string &Kind, const std::string &Name,
                    json Content) {
   std::lock_guard Locked(m_Mutex);
--- a/packages/gateway/test/gateway/FakeSite.h
+++ b/packages/gateway/test/gateway/FakeSite.h
@@ -31,6 +31,7 @@
     std::atomic<TimePoint> LastArrival = TimePoint();
     std::function<http::Response(const http::Request &)> Answer;
     std::unique_ptr<http::Listener> Listener;
+    std::atomic<bool> HasEnded = false;
   };
 
   enum class EndpointState {
@@ -64,6 +65,9 @@
   StoreEndpoint &addStoreEndpoint();
   /// @brief Adds a replica and its entry in the store.
   Replica &addReplica(const std::string &Service);
+  /// @brief Ends a replica, as a crash does: its connections and its listener
+  /// close without an answer. Called in its Answer.
+  void end(Replica &Ended);
   /// @brief Writes a replica's entry.
   /// @param State The wire value of the state.
   void putEntry(const Replica &Of, const char *State, int Sequence,
