An answer with a status that is none fails its request at once

A replica's answer with the status 000, 099 or an unasked 101 never reached a caller here, but was taken for an interim answer: the request waited for another one until its deadline (504 after 1,493 of 1,500 ms as reported). The client for the store and other VMs even took what followed it for the answer.

Cause: every status below 200 counted as interim. Now only 1xx but 101 do; others end the exchange as soon as the head is read, so that an idempotent request can be repeated and others get 502.

Tests, red before: ReplicaConnectionTest (000 and 099 ended only as the replica closed, after 500 ms), ConnectionTest (all three took the next response).

--- a/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.cpp
@@ -3,6 +3,7 @@
 #include "core/invariant/Invariant.h"
 #include "http/QuietSocket.h"
 #include "http/ReadSize.h"
+#include "http/Status.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -21,7 +22,6 @@
 /// Maximum number of interim answers and answers to other requests that may
 /// precede the expected one.
 constexpr unsigned MaxSkippedAnswers = 3;
-constexpr unsigned FirstFinalStatus = 200;
 /// Size of the buffer for unparsed bytes, as a multiple of MaxHeaderBytes.
 constexpr std::size_t BuffersPerHeader = 2;
 constexpr const char *TooLarge = "answer exceeds the memory for answers";
@@ -158,6 +158,8 @@
       return failRead(Failed);
     if (Verdict == http::WorkVerdict::Close)
       return failOverWork();
+    if (hasInvalidStatus())
+      return fail(true, "answer has an invalid status");
     if (!m_Reservation->tryGrow(answerBytes()))
       return fail(true, TooLarge);
     if (m_Parser->is_done())
@@ -166,6 +168,12 @@
   awaitBytes();
 }
 
+bool ReplicaConnection::hasInvalidStatus() const {
+  unsigned Status = m_Parser->get().result_int();
+  return m_Parser->is_header_done() && !http::isInterim(Status) &&
+         !http::isFinal(Status);
+}
+
 std::size_t ReplicaConnection::answerBytes() {
   return m_Buffer.capacity() + m_Reader.fieldMemory() +
          m_Parser->get().body().capacity();
@@ -186,7 +194,7 @@
 }
 
 void ReplicaConnection::onAnswer() {
-  bool IsInterim = m_Parser->get().result_int() < FirstFinalStatus;
+  bool IsInterim = http::isInterim(m_Parser->get().result_int());
   adapter::ReplicaReply Reply = adapter::decodeReply(m_Parser->release());
   bool IsOther =
       !Reply.RequestId.empty() && Reply.RequestId != m_Current->RequestId;
--- a/packages/gateway/src/gateway/pool/ReplicaConnection.h
+++ b/packages/gateway/src/gateway/pool/ReplicaConnection.h
@@ -67,6 +67,9 @@
   /// @brief Reads for one turn; what is left waits behind other connections.
   void read();
   void onAnswer();
+  /// @return Whether the head of the answer holds no status of HTTP, so that
+  /// what follows can't be told.
+  [[nodiscard]] bool hasInvalidStatus() const;
   /// @return The memory that the answer uses so far.
   [[nodiscard]] std::size_t answerBytes();
   [[nodiscard]] std::unique_ptr<http::MemoryReservation> makeReservation();
--- a/packages/gateway/test/gateway/pool/ReplicaConnectionTest.cpp
+++ b/packages/gateway/test/gateway/pool/ReplicaConnectionTest.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr Milliseconds RunTime{5'000};
+/// For which a replica keeps a connection open after its answer.
+constexpr Milliseconds OpenTime{500};
 
 tcp::endpoint loopback(std::uint16_t Port) {
   return {boost::asio::ip::address_v4::loopback(), Port};
@@ -127,6 +129,39 @@
     CHECK_FALSE(isAnswer(resultOf(Whole, Ending::Reset)));
 }
 
+TEST_CASE("MIXED: an answer with a status that is none fails its request at "
+          "once") {
+  // Guards against a request that waits for another answer until its deadline.
+  for (std::string_view Status :
+       {"000 OK", "000", "099 OK", "101 Switching Protocols"}) {
+    CAPTURE(Status);
+    Fixture Made;
+    auto Connection = Made.connect();
+    TimePoint Begun = monotonicNow();
+    TimePoint EndedAt = TimePoint::max();
+    Exchange Request = Made.makeExchange();
+    Request.Done = [&](ExchangeResult How) {
+      EndedAt = monotonicNow();
+      Made.Results.push_back(std::move(How));
+    };
+    Connection->start(std::move(Request));
+    std::string Text = "HTTP/1.1 " + std::string(Status) +
+                       "\r\nX-Request-Id: id1\r\nX-Server-Stamp: 3e1b\r\n"
+                       "Content-Length: 16\r\n\r\n" +
+                       std::string(16, 'r');
+    Made.runWith([&] {
+      tcp::socket Peer(Made.Serving);
+      Made.Listening.accept(Peer);
+      boost::asio::write(Peer, boost::asio::buffer(Text));
+      // Stays open, as the connection of a replica in trouble may.
+      std::this_thread::sleep_for(OpenTime);
+    });
+    REQUIRE(Made.Results.size() == 1);
+    CHECK_FALSE(isAnswer(Made.Results.front()));
+    CHECK(EndedAt - Begun < OpenTime);
+  }
+}
+
 TEST_CASE("a connect that fails as its timeout passes ends its request once") {
   Fixture Made;
   Made.Options.ConnectTimeout = Milliseconds(1);
--- a/packages/http/src/http/ClientStream.cpp
+++ b/packages/http/src/http/ClientStream.cpp
@@ -4,6 +4,7 @@
 #include "http/ChunkWork.h"
 #include "http/Endpoint.h"
 #include "http/QuietSocket.h"
+#include "http/Status.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -23,7 +24,6 @@
 /// Maximum number of interim (1xx) responses before the final response.
 constexpr int MaxInterimAnswers = 4;
 constexpr std::size_t ReadAheadBytes = std::size_t{64} << 10;
-constexpr unsigned FirstFinalStatus = 200;
 constexpr unsigned NoContent = 204;
 constexpr unsigned NotModified = 304;
 
@@ -159,7 +159,7 @@
 awaitable<Result<Response>> ClientStream::readAnswer(bool IsHead) {
   for (int I = 0; I < MaxInterimAnswers; ++I) {
     auto Answer = co_await readMessage(IsHead);
-    if (!Answer || Answer.value().Status >= FirstFinalStatus)
+    if (!Answer || isFinal(Answer.value().Status))
       co_return Answer;
   }
   co_return failure(ErrorCode::Malformed,
@@ -178,7 +178,11 @@
       *m_Stream, m_Buffer, Incoming, AsTuple);
   if (HeaderFailed)
     co_return boost::outcome_v2::failure(describe(HeaderFailed));
-  bool IsFinal = Incoming.get().result_int() >= FirstFinalStatus;
+  unsigned Status = Incoming.get().result_int();
+  bool IsFinal = isFinal(Status);
+  if (!IsFinal && !isInterim(Status))
+    co_return failure(ErrorCode::Malformed,
+                      m_Address + ": the answer has an invalid status");
   if (IsFinal && !IsHead && !statesLength(Incoming))
     co_return failure(ErrorCode::Malformed,
                       m_Address + ": the answer does not state its length");
--- a/packages/http/test/http/ConnectionTest.cpp
+++ b/packages/http/test/http/ConnectionTest.cpp
@@ -109,6 +109,14 @@
   CHECK(Answer.value().Body == "ok");
 }
 
+TEST_CASE("a response with a status that is none is no interim response") {
+  Fixture F;
+  for (std::string Status : {"000 OK", "099 OK", "101 Switching Protocols"})
+    CHECK(F.errorOf("HTTP/1.1 " + Status + "\r\nContent-Length: 0\r\n\r\n" +
+                        Complete,
+                    soon()) == ErrorCode::Malformed);
+}
+
 TEST_CASE("a deadline after the request was sent closes the connection") {
   Fixture F;
   RawServer Silent(F.Io.context());
