Soak: a store that comes back from a copy, a request that ends its replicas

The stand-in for the store keeps copies and names its era; its writers write again later.

Also: a VM does not follow a reader that has not noticed the restore (or names no era), nor does a list without a configuration prove one.

--- a/packages/gateway/src/gateway/control/ConfigSink.h
+++ b/packages/gateway/src/gateway/control/ConfigSink.h
@@ -12,7 +12,7 @@
 
   [[nodiscard]] static const char *kind();
 
-  void beginList() {}
+  void beginList() { m_State.beginConfigList(); }
   void listed(const adapter::StoredDocument &Document);
   void endList(StoreRevision) {}
   void changed(const adapter::DocumentChange &Change);
--- a/packages/gateway/src/gateway/control/FleetState.h
+++ b/packages/gateway/src/gateway/control/FleetState.h
@@ -101,6 +101,9 @@
     return m_Table && m_HasReplicas && !lacksEvacuations();
   }
 
+  /// @brief Records that the store is asked for its configuration, which it may
+  /// lack.
+  void beginConfigList() { m_StoreVersion = 0; }
   /// @brief Applies a configuration if it is newer than the one in force.
   /// @param Source Where it came from.
   /// @return Whether it can be decoded. If not, a proof that came with it does
--- a/packages/gateway/src/gateway/control/ReaderFollower.cpp
+++ b/packages/gateway/src/gateway/control/ReaderFollower.cpp
@@ -11,6 +11,12 @@
 /// counts. An earlier answer may be that of a VM that has yet to read them.
 constexpr double LongWaitShare = 0.5;
 
+/// @return The era of the store in which the replicas were read.
+StoreEra eraOf(const ChangesResponse &Answer) {
+  return std::visit([](const auto &Each) { return Each.AsOf.era(); },
+                    Answer.Replicas);
+}
+
 } // namespace
 
 ReaderFollower::ReaderFollower(boost::asio::io_context &Context,
@@ -46,6 +52,8 @@
 ReaderFollower::whyUnfit(const ChangesResponse &Answer) const {
   if (!Answer.ReadsStore)
     return "it lost the store";
+  if (Answer.HasReplicas && eraOf(Answer) < m_State.replicaRevision().era())
+    return "it does not know that the store went back";
   bool HasWaited = bootNow() - m_AskedAt > m_Options.ReaderWait * LongWaitShare;
   // A VM of an earlier release does not read the evacuations.
   if (HasWaited && !Answer.Evacuations && m_State.followsEvacuations())
--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -83,6 +83,7 @@
 async def soak(seed, seconds, only, folder, program):
     site = Site(seed, VM_COUNT, folder, program)
     callers = Callers(site.vms, site.observer, seed, site.targets)
+    site.callers = callers
     background_tasks = []
     try:
         await site.start()
--- a/scripts/soak/bounds.py
+++ b/scripts/soak/bounds.py
@@ -18,4 +18,6 @@
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5  # requests in a window
 MAX_ATTEMPTS = 2
+MIN_CRASHES = 3  # replicas that a request has ended, until it is sent no more
+MAX_SENT_ON = 3
 CLOCK_LAG_S = 0.25  # of this process; after a longer delay no time bound is checked
--- a/scripts/soak/callers.py
+++ b/scripts/soak/callers.py
@@ -72,11 +72,12 @@
                 continue
         return []
 
-    async def ask(self, vm, prefix, gives_up=True):
-        """Sends one request to a VM; returns how it ended."""
+    async def ask(self, vm, prefix, gives_up=True, path=None):
+        """Sends one request to a VM, to a path of its own unless one is given;
+        returns how it ended."""
         self.number += 1
         answer = Answer(f"q{self.number:06d}", vm.name,
-                        f"{prefix}{self.number}", time.monotonic())
+                        path or f"{prefix}{self.number}", time.monotonic())
         self.observer.on_sent(answer, self.targets(prefix))
         timeout_ms = TIMEOUT_MS.get(prefix, 2_000)
         wait_s = timeout_ms / 1000 + 1.0
--- a/scripts/soak/faults.py
+++ b/scripts/soak/faults.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import signal
+import time
 
+from loopback.replica import CRASHING
 from loopback.store import StoreState
 
+from soak.site import CRASH_RETURN_S
+
 
 class Faults:
     """Each public method is one kind of fault; it returns once it is over."""
@@ -116,6 +120,18 @@
             self.site.store.forget_history()
             await asyncio.sleep(self.random.uniform(0.1, 0.8))
 
+    async def store_restored(self):
+        """The store comes back from a copy; its writers write again later."""
+        span = self.disruptions.begin("store")
+        store = self.site.store
+        store.state.is_down = True
+        await asyncio.sleep(self.random.uniform(0.1, 2))
+        store.restore(self.random.uniform(1, 9))
+        store.state.is_down = False
+        await asyncio.sleep(self.random.uniform(0.1, 1.5))
+        await self.site.write_again()
+        self.disruptions.end(span)
+
     async def _disturb_store_link(self, seconds, vm=None, **values):
         vm = vm or self._vm()
         proxy = self.site.store_proxies[vm.name]
@@ -231,6 +247,18 @@
         await self.site.add_replica(service)
         self.disruptions.end(span)
 
+    async def crashing_request(self):
+        """A request that ends each replica that runs it comes again and again."""
+        span = self.disruptions.begin("replicas")
+        prefix = self.random.choice(["/one/", "/find/"])
+        path = f"{prefix}{CRASHING}{self.random.randint(1, 1_000_000)}"
+        end = time.monotonic() + self.random.uniform(6, 12)
+        while time.monotonic() < end:
+            await self.site.callers.ask(self._vm(), prefix, path=path)
+            await asyncio.sleep(self.random.uniform(0.05, 0.5))
+        await asyncio.sleep(CRASH_RETURN_S)
+        self.disruptions.end(span)
+
     async def replica_restarts_same_id(self):
         span = self.disruptions.begin("replicas")
         replica, _ = self._replica()
--- a/scripts/soak/observer.py
+++ b/scripts/soak/observer.py
@@ -4,7 +4,7 @@
 import time
 
 from soak import bounds
-from loopback.replica import RECORD_BYTES, records_of, sign
+from loopback.replica import CRASHING, RECORD_BYTES, records_of, sign
 
 
 class Disruptions:
@@ -79,6 +79,8 @@
         self.pauses = {}  # (instance, VM) -> (start, end)
         self.arrivals_in_pause = collections.Counter()  # (instance, VM, start)
         self.limits = {}  # instance -> ReplicaLimit
+        self.crashes = collections.defaultdict(dict)  # path -> instance -> time
+        self.sent_on = collections.Counter()  # path -> arrivals after that
         self.told_leaving = {}  # (instance, VM) -> when it passed that on
 
     def forget(self, instance):
@@ -118,6 +120,7 @@
         self.expect("route", replica.service in self.allowed[prefix],
                     f"{request_id} for {prefix} arrived at {replica.service}")
         self._check_drain(replica, answer, now)
+        self._check_crashing(answer, now)
         self._check_told_leaving(replica, answer, now)
         self._check_pause(replica, answer, now)
         self._check_limit(replica, answer, now)
@@ -138,6 +141,19 @@
                     f"{replica.instance} got {answer.id} of {answer.vm} "
                     f"{now - drain_started_at:.2f} s after it began to leave")
 
+    def _check_crashing(self, answer, now):
+        crashed_at = sorted(self.crashes.get(answer.path, {}).values())
+        if len(crashed_at) < bounds.MIN_CRASHES:
+            return
+        third = crashed_at[bounds.MIN_CRASHES - 1]
+        if now > third + bounds.STABILITY_S and self.disruptions.is_undisturbed(
+                third, now, answer.vm, "store", "process"):
+            self.sent_on[answer.path] += 1
+            self.expect("crashing request", self.sent_on[answer.path]
+                        <= bounds.MAX_SENT_ON,
+                        f"{answer.path} was sent {self.sent_on[answer.path]} "
+                        "times more after it had ended three replicas")
+
     def _check_told_leaving(self, replica, answer, now):
         """Holds in touch with the store or not; a restart or a freeze of the VM
         excuses it."""
@@ -205,6 +221,9 @@
 
     def on_run(self, replica, request, request_id):
         self.runs[request_id].append((time.monotonic(), replica.instance))
+        if CRASHING in request.path:
+            self.crashes[request.path][replica.instance] = time.monotonic()
+            self.checks["crash"] += 1
         if self.prefix_of(request.path) not in self.unsafe:
             return
         self.expect("at most once", len(self.runs[request_id]) == 1,
--- a/scripts/soak/site.py
+++ b/scripts/soak/site.py
@@ -25,6 +25,8 @@
 MIN_COVERAGE = {"/find/": 0.85, "/quick/": 0.6}
 OBJECTIVE_MS = {"/find/": 150, "/quick/": 80}
 RESHARD_LEAD_S = 2.0
+EXPIRY_S = 3.6  # three heartbeats
+CRASH_RETURN_S = 2.0
 RESERVATION_PORT = 7000
 
 
@@ -57,6 +59,8 @@
         self.replicas = {}  # instance -> (replica, proxy)
         self.vms = []
         self.version = 0
+        self.config = None  # as last written
+        self.callers = None
         self.layout = "a"
         self.moved_service = "ledger"  # current target of the route /move/
         self.added = []  # prefixes of routes that were added
@@ -112,6 +116,7 @@
             proxy = Proxy(target, MAX_CONNECTIONS)
             proxy.address = await proxy.start(f"{self.prefix}.5.1")
         proxy.target = target
+        replica.on_crash = self.crash_replica
         self.observer.instances[instance] = replica
         self.observer.forget(instance)
         self.replicas[instance] = (replica, proxy)
@@ -128,10 +133,22 @@
             await proxy.stop()
         return proxy
 
+    def crash_replica(self, replica):
+        """The request that the replica runs ends it; another one follows."""
+        if replica.instance in self.replicas and replica.is_alive:
+            replica.is_alive = False
+            asyncio.ensure_future(self._crash_and_return(replica))
+
+    async def _crash_and_return(self, replica):
+        await self.end_replica(replica)
+        asyncio.ensure_future(self.expire_entry(replica))
+        await asyncio.sleep(CRASH_RETURN_S)
+        await self.add_replica(replica.service)
+
     async def expire_entry(self, replica):
         """Removes the entry of an ended replica after three heartbeats, unless the
         instance runs again."""
-        await asyncio.sleep(3.6)
+        await asyncio.sleep(EXPIRY_S)
         if replica.instance not in self.replicas:
             self.store.remove("servers", replica.instance)
 
@@ -182,14 +199,28 @@
         self.observer.min_coverage.update(MIN_COVERAGE)
         services = sorted({name for layout in SHARDS.values()
                            for name in layout} | set(SINGLE_SERVICES))
-        self.store.put("config", "main", {
+        self.config = {
             "Version": self.version, "Routes": routes,
             "Services": [{"Name": name, "HealthPath": "/healthz",
                           "MaxConns": MAX_CONNECTIONS} for name in services],
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144,
-                       "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}})
+                       "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}
+        self.store.put("config", "main", self.config)
         self.acknowledged_at = time.monotonic()
 
+    async def write_again(self):
+        """The operator, and replicas that wrote their last entry, write again what
+        a restored store has lost. The others do so by their heartbeats."""
+        self.store.put("config", "main", self.config)
+        for instance in list(self.store.kinds["servers"]):
+            replica, _ = self.replicas.get(instance, (None, None))
+            if replica and replica.heartbeat_task.cancelled():
+                self.store.remove("servers", instance)
+        await asyncio.sleep(EXPIRY_S)
+        for instance in list(self.store.kinds["servers"]):
+            if instance not in self.replicas:
+                self.store.remove("servers", instance)
+
     def change_routes(self):
         """Adds a route, and points the route /move/ to another service."""
         self.added.append(f"/added-{len(self.added)}/")
--- a/standins/loopback/replica.py
+++ b/standins/loopback/replica.py
@@ -12,6 +12,7 @@
 RECORDS = 12
 QUEUE_LENGTH = 8
 HEARTBEAT_S = 1.2
+CRASHING = "crash-"  # in the path of a request that ends the replica
 
 
 def sign(instance, request_id):
@@ -31,6 +32,10 @@
     return b"".join(records_of(service, request_id))
 
 
+def left_until(end):
+    return max(0.0, end - time.monotonic())
+
+
 class Replica:
     """One incarnation of a replica behind a proxy."""
 
@@ -60,6 +65,7 @@
         self.random = random.Random(instance)
         self.runner = None
         self.heartbeat_task = None
+        self.on_crash = lambda replica: None  # ends the process
 
     async def start(self, host):
         application = web.Application()
@@ -148,9 +154,12 @@
         if time.monotonic() >= end:
             return web.Response(status=503, headers={"X-Not-Executed": "1"})
         self.journal.on_run(self, request, request_id)
+        if CRASHING in request.path:
+            self.on_crash(self)
+            await asyncio.sleep(left_until(end))
         pause = max(0.0, self.paused_until - time.monotonic())
         work = self.work_s * self.slowness * self.random.uniform(0.7, 1.4)
-        await asyncio.sleep(min(pause + work, max(0.0, end - time.monotonic())))
+        await asyncio.sleep(min(pause + work, left_until(end)))
         headers = {"X-Request-Id": request_id,
                    "X-Server-Stamp": sign(self.instance, request_id)}
         if time.monotonic() >= end:
--- a/standins/loopback/store.py
+++ b/standins/loopback/store.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import collections
+import copy
 import random
 import time
 
@@ -11,6 +12,8 @@
 PAGE_ITEMS = 500
 MAX_WATCH_S = 30.0
 WATCH_STEP_S = 0.02
+COPY_INTERVAL_S = 0.5
+MAX_COPY_AGE_S = 10.0
 READ_ONLY_KINDS = ("config", "servers")
 
 
@@ -26,7 +29,9 @@
 
 
 class Store:
-    """Holds objects by kind and name; every change increments one revision."""
+    """Holds objects by kind and name; every change increments one revision.
+
+    It can come back from an older copy, which begins its next era."""
 
     def __init__(self, seed):
         self.state = StoreState()
@@ -35,6 +40,9 @@
         self.revision = 1
         self.history = []  # (revision, kind, object, was deleted)
         self.forgotten = 0  # newest revision whose history was dropped
+        self.era = 1
+        self.copies = collections.deque()  # (time, kinds, revision)
+        self.copying = None
         self.calls = collections.Counter()
         self.runner = None
 
@@ -46,9 +54,11 @@
         await self.runner.setup()
         site = web.TCPSite(self.runner, host, port, shutdown_timeout=0.1)
         await site.start()
+        self.copying = asyncio.ensure_future(self._keep_copies())
         return self.runner.addresses[0][:2]
 
     async def stop(self):
+        self.copying.cancel()
         await self.runner.cleanup()
 
     def put(self, kind, name, spec):
@@ -79,7 +89,33 @@
         self.history.clear()
         self.forgotten = self.revision
 
+    async def _keep_copies(self):
+        while True:
+            self.copies.append((time.monotonic(), copy.deepcopy(self.kinds),
+                                self.revision))
+            while self.copies[0][0] < time.monotonic() - MAX_COPY_AGE_S:
+                self.copies.popleft()
+            await asyncio.sleep(COPY_INTERVAL_S)
+
+    def restore(self, age_s):
+        """Goes back to the newest copy that is at least that old, or else to the
+        oldest one. Later revisions are given out again."""
+        limit = time.monotonic() - age_s
+        usable = [each for each in self.copies if each[0] <= limit]
+        _, kinds, self.revision = (usable or list(self.copies)[:1])[-1]
+        self.kinds = copy.deepcopy(kinds)
+        self.history = [each for each in self.history
+                        if each[0] <= self.revision]
+        self.forgotten = min(self.forgotten, self.revision)
+        self.copies.clear()
+        self.era += 1
+
     async def _serve(self, request):
+        answer = await self._answer(request)
+        answer.headers["Store-Era"] = str(self.era)
+        return answer
+
+    async def _answer(self, request):
         state = self.state
         if request.remote in state.refused or state.is_down:
             return web.Response(status=503)
@@ -121,10 +157,11 @@
         since = int(request.query["Watch"])
         wait_s = min(int(request.query.get("WaitMs", "0")) / 1000, MAX_WATCH_S)
         end = time.monotonic() + wait_s
+        era = self.era
         while True:
-            if self.state.is_down:
+            if self.state.is_down or self.era != era:
                 return web.Response(status=503)
-            if since < self.forgotten:
+            if since < self.forgotten or since > self.revision:
                 return web.Response(status=410)
             events = [{"Object": made, "Deleted": was_deleted}
                       for revision, of, made, was_deleted in self.history
