--- a/packages/coordination/src/coordination/quarantine/RequestQuarantine.cpp
+++ b/packages/coordination/src/coordination/quarantine/RequestQuarantine.cpp
@@ -88,28 +88,32 @@
   return Reports;
 }
 
+bool RequestQuarantine::isLess(const Known &Left, const Known &Right) const {
+  std::size_t LeftCauses = causes(Left);
+  std::size_t RightCauses = causes(Right);
+  if (LeftCauses != RightCauses || LeftCauses == 0)
+    return LeftCauses < RightCauses;
+  return Left.Crashes.back().At < Right.Crashes.back().At;
+}
+
+bool RequestQuarantine::dropOne(TimePoint Now) {
+  auto Least = std::min_element(m_Contents.begin(), m_Contents.end(),
+                                [this](const auto &A, const auto &B) {
+                                  return isLess(A.second, B.second);
+                                });
+  if (holds(Least->first, Now))
+    return false;
+  m_Contents.erase(Least);
+  return true;
+}
+
 RequestQuarantine::Known *RequestQuarantine::entry(ContentHash Content,
                                                    TimePoint Now) {
   auto Found = m_Contents.find(Content);
   if (Found != m_Contents.end())
     return &Found->second;
-  if (m_Contents.size() >= m_Options.MaxContents) {
-    // The content with the fewest crashes goes first, then the oldest.
-    auto Least =
-        std::min_element(m_Contents.begin(), m_Contents.end(),
-                         [&](const auto &A, const auto &B) {
-                           auto rank = [&](const Known &Of) {
-                             TimePoint Latest = Of.Crashes.empty()
-                                                    ? TimePoint::min()
-                                                    : Of.Crashes.back().At;
-                             return std::make_tuple(causes(Of), Latest);
-                           };
-                           return rank(A.second) < rank(B.second);
-                         });
-    if (holds(Least->first, Now))
-      return nullptr;
-    m_Contents.erase(Least);
-  }
+  if (m_Contents.size() >= m_Options.MaxContents && !dropOne(Now))
+    return nullptr;
   return &m_Contents[Content];
 }
 
--- a/packages/coordination/src/coordination/quarantine/RequestQuarantine.h
+++ b/packages/coordination/src/coordination/quarantine/RequestQuarantine.h
@@ -80,6 +80,12 @@
   [[nodiscard]] std::size_t causes(const Known &Of) const;
   /// @return When the latest quarantine ends; nothing if there was none.
   [[nodiscard]] std::optional<TimePoint> heldUntil(const Known &Of) const;
+  /// @return Whether less is known against @p Left: fewer causes, or older
+  /// ones.
+  [[nodiscard]] bool isLess(const Known &Left, const Known &Right) const;
+  /// @brief Makes room for one content, but drops none in quarantine.
+  /// @return Whether there is room now.
+  bool dropOne(TimePoint Now);
   /// @return The content's entry, or null if there is no room for one.
   Known *entry(ContentHash Content, TimePoint Now);
   void add(Known &To, Crash Added) const;
