--- a/packages/coordination/src/coordination/quarantine/RequestQuarantine.cpp
+++ b/packages/coordination/src/coordination/quarantine/RequestQuarantine.cpp
@@ -9,6 +9,9 @@
 
 /// How long other VMs are told that a content was cleared.
 constexpr Milliseconds ClearedReportTime{3'000};
+/// Longest time that a message between VMs usually takes. VMs that repeat each
+/// other's reports must not make a replica's survival look later.
+constexpr Milliseconds MaxTransit{500};
 
 Milliseconds ageOf(TimePoint At, TimePoint Now) {
   auto Age = std::chrono::duration_cast<Milliseconds>(Now - At);
@@ -129,7 +132,7 @@
   auto Same = std::find_if(
       To.Crashes.begin(), To.Crashes.end(),
       [&](const Crash &Each) { return Each.Replica == Added.Replica; });
-  // VMs that repeat each other's reports must not make a crash look later.
+  // Reports that are repeated make it look later.
   if (Same != To.Crashes.end() && Same->At <= Added.At)
     return;
   if (Same != To.Crashes.end())
@@ -166,7 +169,7 @@
   if (Into == nullptr)
     return;
   if (Told.SurvivedAge)
-    clear(*Into, Now - *Told.SurvivedAge);
+    clear(*Into, Now - *Told.SurvivedAge - MaxTransit);
   for (const ReplicaCrash &Each : Told.Crashes)
     if (Each.Age <= m_Options.Retention)
       add(*Into, {.Replica = Each.Replica,
--- a/packages/coordination/test/coordination/quarantine/RequestQuarantineTest.cpp
+++ b/packages/coordination/test/coordination/quarantine/RequestQuarantineTest.cpp
@@ -119,6 +119,26 @@
   CHECK_FALSE(Second.holds(Bad, at(32'300)));
 }
 
+TEST_CASE("BUDGET: reports that VMs repeat to each other do not clear a later "
+          "crash") {
+  RequestQuarantine First;
+  RequestQuarantine Second;
+  crash(First, 0, 1, 1);
+  tell(First, Second, 100);
+  First.onSurvived(Bad, at(500));
+  for (std::uint32_t I = 0; I < 3; ++I)
+    crash(First, 1'000 + static_cast<int>(I) * 100, I + 2, I + 2);
+  // Each message takes 10 ms.
+  for (int Millis = 2'000; Millis < 20'000; Millis += 20) {
+    for (const QuarantineReport &Each : First.reports(1, at(Millis)))
+      Second.onReport(Each, at(Millis + 10));
+    for (const QuarantineReport &Each : Second.reports(1, at(Millis + 10)))
+      First.onReport(Each, at(Millis + 20));
+  }
+  CHECK(First.holds(Bad, at(20'000)));
+  CHECK(Second.holds(Bad, at(20'000)));
+}
+
 TEST_CASE("what is remembered is bounded, and a quarantine is kept") {
   QuarantineOptions Options;
   Options.MaxContents = 10;
