--- a/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
@@ -246,7 +246,7 @@
     Line.add("route", m_Run.route().Name);
     m_Shared.Log.write(Line);
   }
-  m_Shared.OnCrash();
+  m_Shared.OnCrash(IsNew);
 }
 
 void ActiveRequest::onOverWork(const AttemptState &Attempt) {
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.h
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.h
@@ -34,8 +34,9 @@
   EventLog &Log;
   RequestQuarantine &Quarantine;
   EndDetector &Ends;
-  /// Called when a replica has ended under a request.
-  std::function<void()> OnCrash;
+  /// Called when a replica has ended under a request, with whether that begins
+  /// a quarantine.
+  std::function<void(bool)> OnCrash;
 };
 
 /// @brief One request of a caller: carries out the actions that its RequestRun
--- a/packages/gateway/src/gateway/traffic/CallerService.cpp
+++ b/packages/gateway/src/gateway/traffic/CallerService.cpp
@@ -348,15 +348,16 @@
 CallerService::run(adapter::CallerRequest Asked, RunPlan Plan,
                    std::optional<AdmittedRequest> Admitted) {
   SubrequestId First(m_NextAttempt);
-  SharedResources Parts{.Context = m_Context,
-                        .Fleet = m_Fleet,
-                        .Links = m_Links,
-                        .Counters = m_Counters,
-                        .Latencies = m_Latencies,
-                        .Log = m_Log,
-                        .Quarantine = m_Quarantine,
-                        .Ends = m_Ends,
-                        .OnCrash = [this] { publishQuarantine(true); }};
+  SharedResources Parts{
+      .Context = m_Context,
+      .Fleet = m_Fleet,
+      .Links = m_Links,
+      .Counters = m_Counters,
+      .Latencies = m_Latencies,
+      .Log = m_Log,
+      .Quarantine = m_Quarantine,
+      .Ends = m_Ends,
+      .OnCrash = [this](bool IsNew) { publishQuarantine(IsNew); }};
   auto Active = std::make_shared<ActiveRequest>(
       Parts, std::move(Asked), std::move(Plan), First, m_Options.Run);
   m_NextAttempt += Active->maxAttempts();
--- a/packages/gateway/src/gateway/traffic/CallerService.h
+++ b/packages/gateway/src/gateway/traffic/CallerService.h
@@ -73,8 +73,9 @@
   void onSlowAnswers(const VmName &From, const std::vector<SlowAnswer> &Told);
   /// @brief Takes in what another VM knows of requests that end replicas.
   void onQuarantineReports(const std::vector<QuarantineReport> &Told);
-  /// @param Changed Called with what other VMs should know: at intervals, and
-  /// at once, as IsUrgent says, when a replica has ended.
+  /// @param Changed Called with what other VMs should know, at intervals and
+  /// when a replica has ended. When that begins a quarantine it is urgent;
+  /// else the next heartbeat is soon enough, as many replicas may end at once.
   void onQuarantineChanged(OnQuarantine Changed) {
     m_OnQuarantine = std::move(Changed);
   }
