--- a/packages/gateway/src/gateway/traffic/CallerService.cpp
+++ b/packages/gateway/src/gateway/traffic/CallerService.cpp
@@ -22,6 +22,9 @@
 constexpr Milliseconds MinLoggedDelay{50};
 /// Shortest time between two log lines on callers whose bytes cost too much.
 constexpr Milliseconds OverWorkLogInterval{60'000};
+/// Shortest time between two urgent reports of ended replicas: many may end at
+/// once. A new quarantine is reported at any time.
+constexpr Milliseconds UrgentReportInterval{100};
 /// Assumed timeout of a caller that does not send one.
 constexpr Milliseconds DefaultPatience{1'000};
 /// Share of its latency objective that a request may wait for a token. The rest
@@ -146,6 +149,14 @@
          m_Quarantine.holds(contentOf(Asked), monotonicNow());
 }
 
+void CallerService::onReplicaEnded(bool IsNew) {
+  TimePoint Now = monotonicNow();
+  bool IsUrgent = IsNew || Now >= m_NextUrgentReport;
+  if (IsUrgent)
+    m_NextUrgentReport = Now + UrgentReportInterval;
+  publishQuarantine(IsUrgent);
+}
+
 void CallerService::publishQuarantine(bool IsUrgent) {
   auto Reports = m_Quarantine.reports(MaxQuarantineReports, monotonicNow());
   bool IsChange = !Reports.empty() || m_HasQuarantineReports;
@@ -357,7 +368,7 @@
       .Log = m_Log,
       .Quarantine = m_Quarantine,
       .Ends = m_Ends,
-      .OnCrash = [this](bool IsNew) { publishQuarantine(IsNew); }};
+      .OnCrash = [this](bool IsNew) { onReplicaEnded(IsNew); }};
   auto Active = std::make_shared<ActiveRequest>(
       Parts, std::move(Asked), std::move(Plan), First, m_Options.Run);
   m_NextAttempt += Active->maxAttempts();
--- a/packages/gateway/src/gateway/traffic/CallerService.h
+++ b/packages/gateway/src/gateway/traffic/CallerService.h
@@ -74,8 +74,8 @@
   /// @brief Takes in what another VM knows of requests that end replicas.
   void onQuarantineReports(const std::vector<QuarantineReport> &Told);
   /// @param Changed Called with what other VMs should know, at intervals and
-  /// when a replica has ended. When that begins a quarantine it is urgent;
-  /// else the next heartbeat is soon enough, as many replicas may end at once.
+  /// when a replica has ended. If it is not urgent, the next heartbeat is soon
+  /// enough.
   void onQuarantineChanged(OnQuarantine Changed) {
     m_OnQuarantine = std::move(Changed);
   }
@@ -138,6 +138,8 @@
   void applyLimits();
   /// @return Whether replicas end when they run such a request.
   [[nodiscard]] bool isQuarantined(const adapter::CallerRequest &Asked) const;
+  /// @param IsNew Whether the end of a replica began a quarantine.
+  void onReplicaEnded(bool IsNew);
   /// @brief Tells the control thread of the requests that end replicas.
   void publishQuarantine(bool IsUrgent);
   void sweep();
@@ -164,6 +166,7 @@
   RequestQuarantine m_Quarantine;
   EndDetector m_Ends;
   OnQuarantine m_OnQuarantine;
+  TimePoint m_NextUrgentReport;
   bool m_HasQuarantineReports = false; ///< In the last call of m_OnQuarantine.
   std::shared_ptr<const TrafficView> m_View;
   std::unique_ptr<http::Listener> m_Listener;
