Quarantine: replicas that end are reported together, within 50 ms

Ends are now reported together after 50 ms, so that a rack that ends costs one round of heartbeats; a new quarantine is reported without a wait.

--- a/packages/gateway/src/gateway/traffic/CallerService.cpp
+++ b/packages/gateway/src/gateway/traffic/CallerService.cpp
@@ -22,9 +22,9 @@
 constexpr Milliseconds MinLoggedDelay{50};
 /// Shortest time between two log lines on callers whose bytes cost too much.
 constexpr Milliseconds OverWorkLogInterval{60'000};
-/// Shortest time between two urgent reports of ended replicas: many may end at
-/// once. A new quarantine is reported at any time.
-constexpr Milliseconds UrgentReportInterval{100};
+/// How long an ended replica waits to be reported with others: many may end at
+/// once. A new quarantine is reported without a wait.
+constexpr Milliseconds ReportDelay{50};
 /// Assumed timeout of a caller that does not send one.
 constexpr Milliseconds DefaultPatience{1'000};
 /// Share of its latency objective that a request may wait for a token. The rest
@@ -81,7 +81,8 @@
       m_Quota(Context, QuotaHolder(m_Options.Vm, m_Options.IncarnationNumber),
               std::move(QuotaReport)),
       m_Admission(Context, Counters, Log), m_Ends(Context),
-      m_View(std::make_shared<TrafficView>()), m_SweepTimer(Context) {}
+      m_View(std::make_shared<TrafficView>()), m_SweepTimer(Context),
+      m_ReportTimer(Context) {}
 
 Result<void> CallerService::start() {
   http::ListenerOptions Listen;
@@ -150,11 +151,18 @@
 }
 
 void CallerService::onReplicaEnded(bool IsNew) {
-  TimePoint Now = monotonicNow();
-  bool IsUrgent = IsNew || Now >= m_NextUrgentReport;
-  if (IsUrgent)
-    m_NextUrgentReport = Now + UrgentReportInterval;
-  publishQuarantine(IsUrgent);
+  if (IsNew)
+    publishQuarantine(true);
+  if (IsNew || m_IsReportDue)
+    return;
+  m_IsReportDue = true;
+  m_ReportTimer.expires_after(ReportDelay);
+  m_ReportTimer.async_wait([this](boost::system::error_code Stopped) {
+    if (Stopped)
+      return;
+    m_IsReportDue = false;
+    publishQuarantine(true);
+  });
 }
 
 void CallerService::publishQuarantine(bool IsUrgent) {
--- a/packages/gateway/src/gateway/traffic/CallerService.h
+++ b/packages/gateway/src/gateway/traffic/CallerService.h
@@ -166,12 +166,13 @@
   RequestQuarantine m_Quarantine;
   EndDetector m_Ends;
   OnQuarantine m_OnQuarantine;
-  TimePoint m_NextUrgentReport;
   bool m_HasQuarantineReports = false; ///< In the last call of m_OnQuarantine.
   std::shared_ptr<const TrafficView> m_View;
   std::unique_ptr<http::Listener> m_Listener;
   std::unordered_set<std::shared_ptr<ActiveRequest>> m_Active;
   boost::asio::steady_timer m_SweepTimer;
+  boost::asio::steady_timer m_ReportTimer;
+  bool m_IsReportDue = false; ///< m_ReportTimer is running.
   std::uint64_t m_NextAttempt = 1;
   std::uint64_t m_OverWorkLogged = 0; ///< ListenerStats::OverWork when logged.
   TimePoint m_OverWorkLogAt;          ///< Earliest time of the next log line.
