RequestRun: lost attempts alone stop no retries

Requests now stop once the replicas are known to have ended, some 20 ms later: the first arrival of a query may end the second replica of a shard too.

--- a/packages/coordination/src/coordination/run/RequestRun.cpp
+++ b/packages/coordination/src/coordination/run/RequestRun.cpp
@@ -11,8 +11,6 @@
 
 /// Attempts beyond MaxAttempts that are allowed after refusals.
 constexpr std::size_t ExtraAttemptsAfterRefusal = 1;
-/// Lost attempts without a served one after which nothing is sent again.
-constexpr std::size_t MaxLostAttempts = 3;
 
 bool isUnsent(AttemptResult How) {
   return How == AttemptResult::NeverSent || How == AttemptResult::Withdrawn;
@@ -91,17 +89,6 @@
          Of.Attempts.size() < route().MaxAttempts + ExtraAttemptsAfterRefusal;
 }
 
-bool RequestRun::mayEndReplicas() const {
-  std::size_t Lost = 0;
-  for (const Target &Each : m_Targets) {
-    if (Each.Served || Each.Failed)
-      return false;
-    for (const Attempt &Made : Each.Attempts)
-      Lost += Made.Ended == AttemptResult::Lost ? 1 : 0;
-  }
-  return Lost >= MaxLostAttempts;
-}
-
 bool RequestRun::isUsable(const Target &Of, const Attempt &Made,
                           TimePoint Now) const {
   const ReplicaTracker *Gauge = m_Fleet.service(Of.Service).find(Made.Replica);
@@ -214,7 +201,7 @@
 
 bool RequestRun::sendExtra(Target &To, AttemptReason Why, RunActions &Out,
                            TimePoint Now) {
-  if (!m_MaySend || mayEndReplicas() || !maySendAgain(To) || Now >= m_Deadline)
+  if (!m_MaySend || !maySendAgain(To) || Now >= m_Deadline)
     return false;
   ServiceFleet &Service = m_Fleet.service(To.Service);
   ReplicaTracker *Replica =
--- a/packages/coordination/src/coordination/run/RequestRun.h
+++ b/packages/coordination/src/coordination/run/RequestRun.h
@@ -50,8 +50,7 @@
 ///
 /// Handles requests to many shards whose replicas pause, fail or refuse: a late
 /// attempt is hedged within the budget, and the request is answered before its
-/// latency objective if enough shards have answered and the others are late. A
-/// request under which one replica after the other is lost goes to no more.
+/// latency objective if enough shards have answered and the others are late.
 /// Emits exactly one of AnswerParts, RelayReply, RefuseRequest and FailRequest,
 /// unless the caller disconnects first.
 class RequestRun {
@@ -125,8 +124,6 @@
   /// @return Whether an attempt has reached a replica or still may.
   [[nodiscard]] static bool mayHaveArrived(const Target &At);
   [[nodiscard]] bool maySendAgain(const Target &Of) const;
-  /// @return Whether several replicas were lost and none has served.
-  [[nodiscard]] bool mayEndReplicas() const;
   /// @return Whether the attempt's replica may still get requests.
   [[nodiscard]] bool isUsable(const Target &Of, const Attempt &Made,
                               TimePoint Now) const;
