A replica held as leaving is not released once its entry has gone again

What callers could see: requests at a replica that had left, seconds after a restore of the store and in a further outage. Cause: the hold of a replica that a copy brought back ended when the copy's entries had expired, also where its own entry had, so that it was only presumed; while the store was out nothing dropped it. Only what the store holds is released now.

Evidence: a case of ReplicaRegistryTest failed before.

--- a/packages/coordination/src/coordination/replicas/ReplicaRegistry.cpp
+++ b/packages/coordination/src/coordination/replicas/ReplicaRegistry.cpp
@@ -187,7 +187,9 @@
 
 void ReplicaRegistry::releaseHeld() {
   for (auto &[Id, Each] : m_Entries) {
-    if (!Each.IsHeldLeaving)
+    // An entry that has gone again is not that of a replica that lives.
+    bool IsStored = Each.Evidence == ReplicaEvidence::Stored;
+    if (!Each.IsHeldLeaving || !IsStored)
       continue;
     Each.IsHeldLeaving = false;
     Each.Record.State = ReplicaState::Serving;
--- a/packages/coordination/test/coordination/replicas/ReplicaRegistryTest.cpp
+++ b/packages/coordination/test/coordination/replicas/ReplicaRegistryTest.cpp
@@ -481,3 +481,22 @@
     CHECK(stateOf(Book) == ReplicaState::Serving);
   }
 }
+
+TEST_CASE(
+    "DRAIN: a replica that the copy brought back, and whose entry has gone "
+    "again, is not used in the next outage") {
+  // Guards against a hold that ends although the entry has expired.
+  ReplicaRegistry Book = makeFirstEra(ReplicaState::Leaving);
+  TimePoint Back = Start + Milliseconds(1'000);
+  answerAgain(Book, Back);
+  Book.merge(makeCopy(), Back);
+  // The VM is cut off from the store for a while.
+  TimePoint Again = Back + Milliseconds(4'200);
+  answerAgain(Book, Again);
+  Book.remove({.Id = Id, .Revision = again(60)}, Again);
+  REQUIRE(Book.presumed() == 1);
+  // The store goes down. Another VM tells that it had answered until then.
+  TimePoint Now = Again + Milliseconds(3'000);
+  Book.onStoreContact({.Since = Back, .Until = Again, .Era = Second}, Now);
+  CHECK((Book.entries().empty() || stateOf(Book) == ReplicaState::Leaving));
+}
