--- a/packages/coordination/src/coordination/quarantine/RequestQuarantine.cpp
+++ b/packages/coordination/src/coordination/quarantine/RequestQuarantine.cpp
@@ -1,5 +1,7 @@
 #include "coordination/quarantine/RequestQuarantine.h"
 
+#include "coordination/membership/MessageTransit.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -9,9 +11,6 @@
 
 /// How long other VMs are told that a content was cleared.
 constexpr Milliseconds ClearedReportTime{3'000};
-/// Longest time that a message between VMs usually takes. VMs that repeat each
-/// other's reports must not make a replica's survival look later.
-constexpr Milliseconds MaxTransit{500};
 
 Milliseconds ageOf(TimePoint At, TimePoint Now) {
   auto Age = std::chrono::duration_cast<Milliseconds>(Now - At);
@@ -169,7 +168,7 @@
   if (Into == nullptr)
     return;
   if (Told.SurvivedAge)
-    clear(*Into, Now - *Told.SurvivedAge - MaxTransit);
+    clear(*Into, Now - *Told.SurvivedAge - MaxMessageTransit);
   for (const ReplicaCrash &Each : Told.Crashes)
     if (Each.Age <= m_Options.Retention)
       add(*Into, {.Replica = Each.Replica,
--- a/packages/coordination/src/coordination/replicas/ContactAge.h
+++ b/packages/coordination/src/coordination/replicas/ContactAge.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/membership/MessageTransit.h"
 #include "coordination/replicas/StoreContact.h"
 #include "core/time/Time.h"
 
@@ -11,11 +12,6 @@
 /// @brief A ContactSpan as VMs tell it to each other: by age, since their
 /// clocks differ.
 struct ContactAge {
-  /// Longest time that a message between VMs usually takes. It is taken off
-  /// the last answer, so that VMs that repeat each other's reports do not make
-  /// an answer of the store look later and later.
-  static constexpr Milliseconds MaxTransit{500};
-
   Milliseconds Since{0}; ///< Time since the first answer of the period.
   Milliseconds Until{0}; ///< Time since the last one.
   StoreEra Era;
@@ -34,7 +30,7 @@
   [[nodiscard]] ContactSpan spanAt(TimePoint Now) const {
     TimePoint First = Now - Since;
     return {.Since = First,
-            .Until = std::max(First, Now - Until - MaxTransit),
+            .Until = std::max(First, Now - Until - MaxMessageTransit),
             .Era = Era,
             .FollowsRestore = FollowsRestore};
   }
--- a/packages/gateway/src/gateway/control/FleetState.cpp
+++ b/packages/gateway/src/gateway/control/FleetState.cpp
@@ -62,7 +62,7 @@
     return false;
   }
   if (Source == StoreSource)
-    m_StoreVersion = Read.value().version().value();
+    m_StoreConfigVersion = Read.value().version().value();
   if (!m_Table || Read.value().version() > m_Table->version())
     useConfig(std::move(Read.value()), Document, Source);
   return true;
@@ -72,7 +72,7 @@
                            std::string_view Source) {
   m_Table = std::make_shared<const RoutingTable>(std::move(Table));
   m_ConfigDocument = Document;
-  m_NewestVersion = std::max(m_NewestVersion, configVersion());
+  m_NewestConfigVersion = std::max(m_NewestConfigVersion, configVersion());
   m_HasUnpublished = true;
   LogLine Line("config_applied");
   Line.add("version", configVersion());
@@ -288,7 +288,8 @@
 }
 
 bool FleetState::mayLackConfig() const {
-  return m_IsStoreConfigUnreadable || m_StoreVersion < m_NewestVersion ||
+  return m_IsStoreConfigUnreadable ||
+         m_StoreConfigVersion < m_NewestConfigVersion ||
          m_Book.isRestoring(monotonicNow());
 }
 
--- a/packages/gateway/src/gateway/control/FleetState.h
+++ b/packages/gateway/src/gateway/control/FleetState.h
@@ -103,7 +103,7 @@
 
   /// @brief Records that the store is asked for its configuration, which it may
   /// lack.
-  void beginConfigList() { m_StoreVersion = 0; }
+  void beginConfigList() { m_StoreConfigVersion = 0; }
   /// @brief Applies a configuration if it is newer than the one in force.
   /// @param Source Where it came from.
   /// @return Whether it can be decoded. If not, a proof that came with it does
@@ -163,7 +163,7 @@
   void onStoreLost() { m_Signal.notify(); }
   /// @brief Records that another VM has the configuration @p Version in force.
   void onConfigHeard(std::uint64_t Version) {
-    m_NewestVersion = std::max(m_NewestVersion, Version);
+    m_NewestConfigVersion = std::max(m_NewestConfigVersion, Version);
   }
   /// @brief Handles a heartbeat.
   /// @return Whether its sender was unknown until now.
@@ -220,9 +220,9 @@
   /// Whether the store's configuration can't be decoded, so that an older one
   /// is in force. Other VMs' configurations don't change it: they may be older.
   bool m_IsStoreConfigUnreadable = false;
-  std::uint64_t m_StoreVersion = 0;  ///< Of the store's configuration.
-  std::uint64_t m_NewestVersion = 0; ///< That any VM has in force.
-  StoreEra m_Era;                    ///< Of the store, as last logged.
+  std::uint64_t m_StoreConfigVersion = 0;  ///< Of the store's configuration.
+  std::uint64_t m_NewestConfigVersion = 0; ///< That any VM has in force.
+  StoreEra m_Era;                          ///< Of the store, as last logged.
   VmTracker m_Vms;
   OwnLoad m_OwnLoad;
   double m_Share = 1;
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.cpp
@@ -196,7 +196,7 @@
     if (Failure->IsOverWork)
       onOverWork(*Attempt);
     if (Failure->IsConnectionLost)
-      checkEnd(*Attempt);
+      checkLiveness(*Attempt);
     return end(Id, resultOf(*Failure));
   }
   Attempt->Reply = std::move(std::get<adapter::ReplicaReply>(How));
@@ -205,14 +205,14 @@
   end(Id, classify(*Attempt->Reply));
 }
 
-void ActiveRequest::checkEnd(const AttemptState &Attempt) {
+void ActiveRequest::checkLiveness(const AttemptState &Attempt) {
   if (!Attempt.Pool)
     return;
   const ServerName &Replica = Attempt.Started.Replica;
   const ReplicaTracker *Gauge =
       m_Shared.Fleet.service(Attempt.Started.Service).find(Replica);
   std::int64_t StartedAt = Gauge == nullptr ? 0 : Gauge->record().StartedAt;
-  m_Shared.Ends.check(
+  m_Shared.Liveness.check(
       Attempt.Pool->remote(),
       [Self = shared_from_this(), Replica, StartedAt, At = monotonicNow()] {
         Self->onReplicaEnded(Replica, StartedAt, At);
@@ -235,18 +235,18 @@
   m_Shared.Log.write(describeEnd(Replica, m_Asked, m_Run.route().Name));
   ContentHash Content = contentOf(m_Asked);
   TimePoint Now = monotonicNow();
-  bool IsNew =
+  bool BeginsQuarantine =
       m_Shared.Quarantine.onCrash(Content, hashOfReplica(Replica, StartedAt),
                                   hashOfRequest(m_Asked.Id), At, Now);
   if (m_Shared.Quarantine.holds(Content, Now))
     m_Run.stopSending();
-  if (IsNew) {
+  if (BeginsQuarantine) {
     LogLine Line("request_quarantined");
     Line.add("content", Content.value());
     Line.add("route", m_Run.route().Name);
     m_Shared.Log.write(Line);
   }
-  m_Shared.OnCrash(IsNew);
+  m_Shared.OnReplicaEnded(BeginsQuarantine);
 }
 
 void ActiveRequest::onOverWork(const AttemptState &Attempt) {
--- a/packages/gateway/src/gateway/traffic/ActiveRequest.h
+++ b/packages/gateway/src/gateway/traffic/ActiveRequest.h
@@ -7,7 +7,7 @@
 #include "gateway/metrics/LatencyMetrics.h"
 #include "gateway/pool/Exchange.h"
 #include "gateway/traffic/AttemptState.h"
-#include "gateway/traffic/EndDetector.h"
+#include "gateway/traffic/LivenessChecker.h"
 #include "gateway/traffic/ReplicaLinks.h"
 #include "gateway/traffic/TrafficCounters.h"
 #include "http/Response.h"
@@ -33,10 +33,10 @@
   LatencyMetrics &Latencies;
   EventLog &Log;
   RequestQuarantine &Quarantine;
-  EndDetector &Ends;
+  LivenessChecker &Liveness;
   /// Called when a replica has ended under a request, with whether that begins
   /// a quarantine.
-  std::function<void(bool)> OnCrash;
+  std::function<void(bool)> OnReplicaEnded;
 };
 
 /// @brief One request of a caller: carries out the actions that its RequestRun
@@ -80,7 +80,7 @@
   void onExchange(SubrequestId Id, ExchangeResult How);
   /// @brief Finds out whether the attempt's replica, which closed its
   /// connection, has ended.
-  void checkEnd(const AttemptState &Attempt);
+  void checkLiveness(const AttemptState &Attempt);
   /// @brief Handles a replica that ended at @p At while it ran the request.
   void onReplicaEnded(const ServerName &Replica, std::int64_t StartedAt,
                       TimePoint At);
--- a/packages/gateway/src/gateway/traffic/CallerService.cpp
+++ b/packages/gateway/src/gateway/traffic/CallerService.cpp
@@ -80,7 +80,7 @@
       m_Picker(randomShare()), m_Proof(m_Options.RevocationBound),
       m_Quota(Context, QuotaHolder(m_Options.Vm, m_Options.IncarnationNumber),
               std::move(QuotaReport)),
-      m_Admission(Context, Counters, Log), m_Ends(Context),
+      m_Admission(Context, Counters, Log), m_Liveness(Context),
       m_View(std::make_shared<TrafficView>()), m_SweepTimer(Context),
       m_ReportTimer(Context) {}
 
@@ -150,10 +150,10 @@
          m_Quarantine.holds(contentOf(Asked), monotonicNow());
 }
 
-void CallerService::onReplicaEnded(bool IsNew) {
-  if (IsNew)
+void CallerService::onReplicaEnded(bool BeginsQuarantine) {
+  if (BeginsQuarantine)
     publishQuarantine(true);
-  if (IsNew || m_IsReportDue)
+  if (BeginsQuarantine || m_IsReportDue)
     return;
   m_IsReportDue = true;
   m_ReportTimer.expires_after(ReportDelay);
@@ -367,16 +367,17 @@
 CallerService::run(adapter::CallerRequest Asked, RunPlan Plan,
                    std::optional<AdmittedRequest> Admitted) {
   SubrequestId First(m_NextAttempt);
-  SharedResources Parts{
-      .Context = m_Context,
-      .Fleet = m_Fleet,
-      .Links = m_Links,
-      .Counters = m_Counters,
-      .Latencies = m_Latencies,
-      .Log = m_Log,
-      .Quarantine = m_Quarantine,
-      .Ends = m_Ends,
-      .OnCrash = [this](bool IsNew) { onReplicaEnded(IsNew); }};
+  SharedResources Parts{.Context = m_Context,
+                        .Fleet = m_Fleet,
+                        .Links = m_Links,
+                        .Counters = m_Counters,
+                        .Latencies = m_Latencies,
+                        .Log = m_Log,
+                        .Quarantine = m_Quarantine,
+                        .Liveness = m_Liveness,
+                        .OnReplicaEnded = [this](bool BeginsQuarantine) {
+                          onReplicaEnded(BeginsQuarantine);
+                        }};
   auto Active = std::make_shared<ActiveRequest>(
       Parts, std::move(Asked), std::move(Plan), First, m_Options.Run);
   m_NextAttempt += Active->maxAttempts();
--- a/packages/gateway/src/gateway/traffic/CallerService.h
+++ b/packages/gateway/src/gateway/traffic/CallerService.h
@@ -14,7 +14,7 @@
 #include "gateway/overload/AdmissionGate.h"
 #include "gateway/quota/QuotaGate.h"
 #include "gateway/traffic/CallerTimeoutTracker.h"
-#include "gateway/traffic/EndDetector.h"
+#include "gateway/traffic/LivenessChecker.h"
 #include "gateway/traffic/ReplicaLinks.h"
 #include "gateway/traffic/TrafficCounters.h"
 #include "gateway/traffic/TrafficOptions.h"
@@ -138,8 +138,8 @@
   void applyLimits();
   /// @return Whether replicas end when they run such a request.
   [[nodiscard]] bool isQuarantined(const adapter::CallerRequest &Asked) const;
-  /// @param IsNew Whether the end of a replica began a quarantine.
-  void onReplicaEnded(bool IsNew);
+  /// @brief Has other VMs told that a replica ended under a request.
+  void onReplicaEnded(bool BeginsQuarantine);
   /// @brief Tells the control thread of the requests that end replicas.
   void publishQuarantine(bool IsUrgent);
   void sweep();
@@ -164,7 +164,7 @@
   QuotaGate m_Quota;
   AdmissionGate m_Admission;
   RequestQuarantine m_Quarantine;
-  EndDetector m_Ends;
+  LivenessChecker m_Liveness;
   OnQuarantine m_OnQuarantine;
   bool m_HasQuarantineReports = false; ///< In the last call of m_OnQuarantine.
   std::shared_ptr<const TrafficView> m_View;
--- a/packages/gateway/src/gateway/traffic/EndDetector.cpp
+++ b/packages/gateway/src/gateway/traffic/LivenessChecker.cpp
@@ -1,4 +1,4 @@
-#include "gateway/traffic/EndDetector.h"
+#include "gateway/traffic/LivenessChecker.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -24,7 +24,7 @@
 struct Check {
   tcp::socket Socket;
   boost::asio::steady_timer Timer;
-  EndDetector::OnEnded Ended;
+  LivenessChecker::OnEnded Ended;
 };
 
 boost::asio::awaitable<void> run(std::shared_ptr<Check> Made,
@@ -46,7 +46,7 @@
 
 } // namespace
 
-void EndDetector::check(const tcp::endpoint &Remote, OnEnded Ended) {
+void LivenessChecker::check(const tcp::endpoint &Remote, OnEnded Ended) {
   if (*m_Running >= MaxRunning)
     return;
   ++*m_Running;
--- a/packages/gateway/src/gateway/traffic/EndDetector.h
+++ b/packages/gateway/src/gateway/traffic/LivenessChecker.h
@@ -13,11 +13,11 @@
 
 /// @brief Tells replicas that have ended from those that have only closed a
 /// connection, by a new connection to them.
-class EndDetector {
+class LivenessChecker {
 public:
   using OnEnded = std::function<void()>;
 
-  explicit EndDetector(boost::asio::io_context &Context)
+  explicit LivenessChecker(boost::asio::io_context &Context)
       : m_Context(Context), m_Running(std::make_shared<std::size_t>(0)) {}
 
   /// @brief Checks the replica at @p Remote. A check is left out if there are
