Stand-in of the store: two restores within half a second

The second one found no copy and would have ended the soak with an IndexError (found by reading; no run has shown it). A restore takes a copy at once.

--- a/standins/loopback/store.py
+++ b/standins/loopback/store.py
@@ -89,10 +89,13 @@
         self.history.clear()
         self.forgotten = self.revision
 
+    def _take_copy(self):
+        self.copies.append((time.monotonic(), copy.deepcopy(self.kinds),
+                            self.revision))
+
     async def _keep_copies(self):
         while True:
-            self.copies.append((time.monotonic(), copy.deepcopy(self.kinds),
-                                self.revision))
+            self._take_copy()
             while self.copies[0][0] < time.monotonic() - MAX_COPY_AGE_S:
                 self.copies.popleft()
             await asyncio.sleep(COPY_INTERVAL_S)
@@ -102,12 +105,13 @@
         oldest one. Later revisions are given out again."""
         limit = time.monotonic() - age_s
         usable = [each for each in self.copies if each[0] <= limit]
-        _, kinds, self.revision = (usable or list(self.copies)[:1])[-1]
+        _, kinds, self.revision = usable[-1] if usable else self.copies[0]
         self.kinds = copy.deepcopy(kinds)
         self.history = [each for each in self.history
                         if each[0] <= self.revision]
         self.forgotten = min(self.forgotten, self.revision)
         self.copies.clear()
+        self._take_copy()
         self.era += 1
 
     async def _serve(self, request):
